--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,111 @@
+//! Follows the list of cache nodes: a watch at discovery, renewed at once after each answer.
+
+use super::config::Members;
+use super::engine::Engine;
+use super::socket::{Descriptors, Io, Socket};
+use super::Body;
+use http_body_util::{BodyExt, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use ravenlug::api::{ListKind, Nanos};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+/// How long discovery may take beyond the wait that it was asked for.
+const GRACE: Duration = Duration::from_secs(2);
+const CONNECT: Duration = Duration::from_secs(1);
+/// A list is at most this long; a thousand entries take a fifth of it.
+const LIST_MOST: usize = 1 << 20;
+
+pub struct Discovery {
+    addr: SocketAddr,
+    version: u64,
+    hold: Duration,
+    descriptors: Rc<Descriptors>,
+    sender: Option<SendRequest<Body>>,
+}
+
+impl Discovery {
+    pub fn new(addr: SocketAddr, version: u64, must_ask_in: Nanos, descriptors: Rc<Descriptors>) -> Self {
+        // Half the time in which the list must be asked for: a watch that died unseen is replaced before the
+        // proxy counts as told what it never heard.
+        let hold =
+            Duration::from_nanos(must_ask_in / 2).clamp(Duration::from_secs(1), Duration::from_secs(20));
+        Discovery { addr, version, hold, descriptors, sender: None }
+    }
+
+    /// Starts a watch each time that the module asks for one, and follows it until it breaks.
+    pub async fn follow(mut self, engine: Rc<Engine>, mut asked: mpsc::UnboundedReceiver<()>) {
+        while asked.recv().await.is_some() {
+            loop {
+                match self.call().await {
+                    Ok(members) => {
+                        self.version = members.version;
+                        let kind = if members.full { ListKind::Full } else { ListKind::Delta };
+                        engine.list(kind, &members.servers);
+                    }
+                    Err(e) => {
+                        super::log(format_args!("discovery at {}: {e}", self.addr));
+                        self.sender = None;
+                        engine.list(ListKind::Failed, &[]);
+                        break;
+                    }
+                }
+                // Asked for again while it was followed: the next call answers that as well.
+                while asked.try_recv().is_ok() {}
+            }
+        }
+    }
+
+    async fn call(&mut self) -> Result<Members, String> {
+        let limit = self.hold + GRACE;
+        let kept = self.sender.is_some();
+        match tokio::time::timeout(limit, self.exchange()).await {
+            Err(_) => Err("no answer in time".into()),
+            Ok(Err(_)) if kept && self.sender.is_none() => {
+                // A kept connection that has ended says nothing of discovery; a watch must go on at once.
+                let again = tokio::time::timeout(limit, self.exchange()).await;
+                again.unwrap_or_else(|_| Err("no answer in time".into()))
+            }
+            Ok(done) => done,
+        }
+    }
+
+    async fn exchange(&mut self) -> Result<Members, String> {
+        let mut sender = match self.sender.take() {
+            Some(sender) => sender,
+            None => self.connect().await?,
+        };
+        sender.ready().await.map_err(|e| format!("connection lost: {e}"))?;
+        let path = match self.version {
+            0 => "/catalog/members".to_owned(),
+            version => format!("/catalog/members?from={version}&hold_ms={}", self.hold.as_millis()),
+        };
+        let request = Request::get(path).header(HOST, self.addr.to_string()).body(Body::default());
+        let response = sender.send_request(request.map_err(|e| e.to_string())?).await;
+        let (head, body) = response.map_err(|e| format!("no answer: {e}"))?.into_parts();
+        let body =
+            Limited::new(body, LIST_MOST).collect().await.map_err(|e| format!("broken answer: {e}"))?;
+        self.sender = Some(sender);
+        if head.status != StatusCode::OK {
+            return Err(format!("answered {}", head.status.as_u16()));
+        }
+        serde_json::from_slice(&body.to_bytes()).map_err(|e| format!("not a list: {e}"))
+    }
+
+    async fn connect(&self) -> Result<SendRequest<Body>, String> {
+        let permit = self.descriptors.take(0).ok_or("no descriptor left")?;
+        let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(self.addr)).await;
+        let stream =
+            connecting.map_err(|_| "no connection in time")?.map_err(|e| format!("no connection: {e}"))?;
+        let io = TokioIo::new(Io(Socket::new(stream, permit)));
+        let (sender, connection) = http1::handshake(io).await.map_err(|e| e.to_string())?;
+        tokio::task::spawn_local(connection);
+        Ok(sender)
+    }
+}
--- /dev/null
+++ b/src/net/engine.rs
@@ -0,0 +1,329 @@
+//! The sole owner of the decision module and of all requests, attempts and timers: events of the network go in,
+//! the module's actions come out. Each request gets one final answer.
+
+use super::config::{Config, Member, Names};
+use super::upstream::{Ended, Job, Tether, Upstreams};
+use hyper::body::Bytes;
+use hyper::Response;
+use ravenlug::api::*;
+use ravenlug::Balancer;
+use rustc_hash::FxHashMap;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+
+/// A client's time runs from its sending: so much of it is kept for the way here and for the answer's way back.
+const MARGIN: Nanos = 10_000_000;
+/// The part of it left when a request that the module has left unanswered is failed.
+const GUARD: Nanos = 5_000_000;
+
+/// The one clock: monotonic, from the Unix time at the start, since nodes' start times are Unix times.
+#[derive(Clone, Copy)]
+struct Clock {
+    base: Nanos,
+    start: Instant,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let base = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { base: base.as_nanos() as Nanos, start: Instant::now() }
+    }
+
+    fn now(&self) -> Nanos {
+        self.base.saturating_add(self.start.elapsed().as_nanos() as Nanos)
+    }
+}
+
+/// The final answer of a request.
+pub enum Answer {
+    Served(Response<Bytes>),
+    /// Not done, a repeat is harmless; with the advised wait.
+    Refused(Duration),
+    Failed,
+    /// The module had no answer in time.
+    Overdue,
+}
+
+/// What a client asks for, in the module's terms; its id is given on arrival.
+pub struct Asked {
+    pub request: Request,
+    pub job: Job,
+}
+
+struct Attempt {
+    server: ServerId,
+    sent: Nanos,
+    /// While it is out.
+    out: Option<(Rc<Tether>, AbortHandle)>,
+}
+
+struct Pending {
+    id: RequestId,
+    job: Rc<Job>,
+    deadline: Nanos,
+    /// Until the final answer is given.
+    answer: Option<oneshot::Sender<Answer>>,
+    attempts: Vec<Attempt>,
+}
+
+struct Core {
+    balancer: Balancer,
+    next: RequestId,
+    pending: FxHashMap<RequestId, Pending>,
+}
+
+pub struct Engine {
+    clock: Clock,
+    names: Names,
+    cancel: bool,
+    core: RefCell<Core>,
+    upstreams: Rc<Upstreams>,
+    watch: mpsc::UnboundedSender<()>,
+    myself: Weak<Engine>,
+}
+
+impl Engine {
+    /// Starts the module; a message on `watch` asks for the list to be followed.
+    pub fn new(config: Config, upstreams: Rc<Upstreams>, watch: mpsc::UnboundedSender<()>) -> Rc<Self> {
+        let engine = Rc::new_cyclic(|myself| Engine {
+            clock: Clock::new(),
+            names: config.names,
+            cancel: config.settings.cancel,
+            core: RefCell::new(Core {
+                balancer: Balancer::new(config.settings, config.seed),
+                next: 1,
+                pending: FxHashMap::default(),
+            }),
+            upstreams,
+            watch,
+            myself: myself.clone(),
+        });
+        engine.list(ListKind::Cached, &config.known.servers);
+        engine
+    }
+
+    pub fn names(&self) -> &Names {
+        &self.names
+    }
+
+    /// Whether a request could be served now.
+    pub fn can_serve(&self) -> bool {
+        self.upstreams.any_ready()
+    }
+
+    /// News of the list.
+    pub fn list(&self, kind: ListKind, members: &[Member]) {
+        let entries: Vec<(Entry, Option<SocketAddr>)> = members.iter().map(|m| self.names.entry(m)).collect();
+        if kind != ListKind::Failed {
+            self.upstreams.update(kind != ListKind::Delta, &entries);
+        }
+        let entries = entries.into_iter().map(|(e, _)| e).collect();
+        self.feed(&mut self.core.borrow_mut(), Event::List { kind, entries });
+    }
+
+    /// A request has come; its answer comes from the ticket.
+    pub fn arrive(&self, asked: Asked) -> Ticket {
+        let Asked { mut request, job } = asked;
+        let core = &mut *self.core.borrow_mut();
+        let now = self.clock.now();
+        let (answer, answered) = oneshot::channel();
+        let id = core.next;
+        core.next += 1;
+        let patience = request.remaining;
+        request.id = id;
+        request.remaining = patience.saturating_sub(MARGIN);
+        let deadline = now.saturating_add(request.remaining);
+        let pending = Pending { id, job: Rc::new(job), deadline, answer: Some(answer), attempts: Vec::new() };
+        core.pending.insert(id, pending);
+        self.feed(core, Event::Arrival(request));
+        let guard = Duration::from_nanos(patience.saturating_sub(GUARD));
+        Ticket { id, answered: Some(answered), guard, engine: self.myself.clone() }
+    }
+
+    /// The client has gone, or has been told that it is too late: nothing more is done for the request.
+    fn leave(&self, id: RequestId) {
+        let core = &mut *self.core.borrow_mut();
+        let Some(pending) = core.pending.get_mut(&id) else { return };
+        if pending.answer.take().is_some() {
+            self.feed(core, Event::Expired(id));
+            self.call_off_all(core, id);
+        }
+    }
+
+    /// An attempt has ended by itself.
+    fn ended(&self, id: RequestId, number: usize, ended: Ended) {
+        let core = &mut *self.core.borrow_mut();
+        let Some(pending) = core.pending.get_mut(&id) else { return };
+        let Some(attempt) = pending.attempts.get_mut(number) else { return };
+        if attempt.out.take().is_none() {
+            return;
+        }
+        if let Some(response) = ended.answer {
+            if let Some(answer) = pending.answer.take() {
+                let _ = answer.send(Answer::Served(response));
+                Self::bar(pending);
+            }
+        }
+        let event = self.outcome(pending, number, ended.status, ended.hit);
+        self.feed(core, event);
+        Self::forget(core, id);
+    }
+
+    /// How an attempt ended, as the module is told it.
+    fn outcome(&self, pending: &Pending, number: usize, status: Status, hit: Option<bool>) -> Event {
+        let Attempt { server, sent, .. } = pending.attempts[number];
+        let elapsed = self.clock.now().saturating_sub(sent);
+        let last = pending.answer.is_none();
+        Event::Outcome { id: pending.id, attempt: number as u32, server, status, elapsed, last, hit }
+    }
+
+    /// Gives an event to the module and does what it says, and so on with what follows at once from that.
+    fn feed(&self, core: &mut Core, event: Event) {
+        let mut events = VecDeque::from([event]);
+        let mut actions = Vec::new();
+        while let Some(event) = events.pop_front() {
+            core.balancer.handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(core, action, &mut events);
+            }
+        }
+    }
+
+    fn act(&self, core: &mut Core, action: Action, events: &mut VecDeque<Event>) {
+        match action {
+            Action::Send { id, server, timeout } => events.extend(self.send(core, id, server, timeout)),
+            Action::Cancel { id, attempt } => events.extend(self.call_off(core, id, attempt as usize)),
+            Action::Refuse { id, retry_after } => {
+                self.answer(core, id, Answer::Refused(Duration::from_nanos(retry_after)), events);
+            }
+            Action::Fail { id } => self.answer(core, id, Answer::Failed, events),
+            Action::Timer { token, delay } => {
+                let myself = self.myself.clone();
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(Duration::from_nanos(delay)).await;
+                    if let Some(engine) = myself.upgrade() {
+                        engine.feed(&mut engine.core.borrow_mut(), Event::Timer(token));
+                    }
+                });
+            }
+            Action::Close(server) => self.upstreams.close_idle(server),
+            // The receiver is gone only when the proxy ends.
+            Action::Subscribe => drop(self.watch.send(())),
+        }
+    }
+
+    /// Starts an attempt; an event comes back when it ends before it began.
+    fn send(&self, core: &mut Core, id: RequestId, server: ServerId, timeout: Nanos) -> Option<Event> {
+        let now = self.clock.now();
+        let pending = core.pending.get_mut(&id)?;
+        let number = pending.attempts.len();
+        let left = pending.deadline.saturating_sub(now);
+        if pending.answer.is_none() || left == 0 {
+            pending.attempts.push(Attempt { server, sent: now, out: None });
+            return Some(self.outcome(pending, number, Status::Moot, None));
+        }
+        let wait = Duration::from_nanos(if timeout == 0 { left } else { timeout.min(left) });
+        let (job, tether) = (pending.job.clone(), Rc::new(Tether::default()));
+        let (upstreams, held, myself) = (self.upstreams.clone(), tether.clone(), self.myself.clone());
+        let task = tokio::task::spawn_local(async move {
+            let ended = upstreams.attempt(server, &job, wait, &held).await;
+            if let Some(engine) = myself.upgrade() {
+                engine.ended(id, number, ended);
+            }
+        });
+        pending.attempts.push(Attempt { server, sent: now, out: Some((tether, task.abort_handle())) });
+        None
+    }
+
+    /// Ends an attempt that is out, and its connection with it.
+    fn call_off(&self, core: &mut Core, id: RequestId, number: usize) -> Option<Event> {
+        let pending = core.pending.get_mut(&id)?;
+        let attempt = pending.attempts.get_mut(number)?;
+        let (tether, task) = attempt.out.take()?;
+        tether.cut();
+        task.abort();
+        let event = self.outcome(pending, number, Status::Cancelled, None);
+        Self::forget(core, id);
+        Some(event)
+    }
+
+    fn call_off_all(&self, core: &mut Core, id: RequestId) {
+        let attempts = core.pending.get(&id).map_or(0, |p| p.attempts.len());
+        for number in 0..attempts {
+            if let Some(event) = self.call_off(core, id, number) {
+                self.feed(core, event);
+            }
+        }
+        Self::forget(core, id);
+    }
+
+    /// Gives the final answer, if none was given.
+    fn answer(&self, core: &mut Core, id: RequestId, answer: Answer, events: &mut VecDeque<Event>) {
+        let Some(pending) = core.pending.get_mut(&id) else { return };
+        let Some(sender) = pending.answer.take() else { return };
+        // A client that has just gone needs none.
+        let _ = sender.send(answer);
+        Self::bar(pending);
+        if self.cancel {
+            // Danger: what is still out when the request is over would go on for nobody.
+            let attempts = pending.attempts.len();
+            events.extend((0..attempts).filter_map(|n| self.call_off(core, id, n)));
+        }
+        Self::forget(core, id);
+    }
+
+    /// After the final answer nothing more is written for a request.
+    fn bar(pending: &Pending) {
+        pending.attempts.iter().filter_map(|a| a.out.as_ref()).for_each(|(tether, _)| tether.bar());
+    }
+
+    /// Drops a request that has had its answer and has no attempt out.
+    fn forget(core: &mut Core, id: RequestId) {
+        let over = |p: &Pending| p.answer.is_none() && p.attempts.iter().all(|a| a.out.is_none());
+        if core.pending.get(&id).is_some_and(over) {
+            core.pending.remove(&id);
+        }
+    }
+}
+
+/// A claim on one final answer. Dropped before the answer has come, it tells the module that the client left.
+pub struct Ticket {
+    id: RequestId,
+    answered: Option<oneshot::Receiver<Answer>>,
+    guard: Duration,
+    engine: Weak<Engine>,
+}
+
+impl Ticket {
+    /// Waits for the final answer, at most until just before the client stops waiting.
+    pub async fn answer(&mut self) -> Answer {
+        let Some(answered) = self.answered.as_mut() else { return Answer::Overdue };
+        let got = tokio::time::timeout(self.guard, answered).await;
+        match got {
+            Ok(Ok(answer)) => {
+                self.answered = None;
+                answer
+            }
+            Ok(Err(_)) => Answer::Failed,
+            Err(_) => {
+                super::log("a request was left unanswered until its deadline");
+                Answer::Overdue
+            }
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if self.answered.is_some() {
+            if let Some(engine) = self.engine.upgrade() {
+                engine.leave(self.id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,28 @@
+//! The sockets' side of the proxy: it translates between the network and the decision module.
+
+pub mod config;
+pub mod discovery;
+pub mod engine;
+pub mod server;
+mod socket;
+mod upstream;
+
+use http_body_util::Full;
+use hyper::body::Bytes;
+use std::io::Write as _;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// Bodies hold at most this.
+const BODY_MOST: usize = 64 << 10;
+/// A body that is held whole.
+type Body = Full<Bytes>;
+
+/// Writes a line about something rare to standard error. Danger: a fault that repeats with every request would
+/// fill memory or block the one thread, so only the first lines of a run are kept.
+pub fn log(line: impl std::fmt::Display) {
+    const MOST: u32 = 500;
+    static WRITTEN: AtomicU32 = AtomicU32::new(0);
+    if WRITTEN.fetch_add(1, Ordering::Relaxed) < MOST {
+        let _ = writeln!(std::io::stderr(), "rushquay: {line}");
+    }
+}
--- /dev/null
+++ b/src/net/server.rs
@@ -0,0 +1,342 @@
+//! The listener, clients' connections and requests, their answers, and the drain.
+
+use super::config::Config;
+use super::discovery::Discovery;
+use super::engine::{Answer, Asked, Engine, Ticket};
+use super::socket::{Descriptors, Io, Permit, Socket};
+use super::upstream::{Job, Upstreams, TIME_LEFT};
+use super::{Body, BODY_MOST};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body as _, Bytes, Incoming};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode, Version};
+use hyper_util::rt::TokioIo;
+use ravenlug::api::{self, Effect, Nanos};
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, Notify};
+use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+
+const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
+const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
+const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Headers that belong to one connection and do not go on.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+];
+/// Descriptors that are no sockets of the budget: standard streams, the listener, the runtime's own.
+const OWN_DESCRIPTORS: usize = 24;
+/// New connections come for some time after SIGTERM; accepting goes on for at least the first span, until none
+/// has come for the second, and ends after the third.
+const ACCEPT_FOR: Duration = Duration::from_millis(450);
+const QUIET_FOR: Duration = Duration::from_millis(100);
+const ACCEPT_MOST: Duration = Duration::from_millis(600);
+/// A proxy may be killed so long after the longest deadline after SIGTERM; it ends a little sooner.
+const END_BEFORE: Duration = Duration::from_millis(600);
+
+/// A client's connection, as others see it.
+#[derive(Default)]
+struct Client {
+    busy: Cell<bool>,
+    since: Cell<Option<Instant>>,
+    close: Notify,
+    closing: Cell<bool>,
+}
+
+impl Client {
+    /// Lets the connection end after the request that it has, if any.
+    fn end(&self) {
+        self.closing.set(true);
+        self.close.notify_one();
+    }
+}
+
+struct Server {
+    engine: Rc<Engine>,
+    upstreams: Rc<Upstreams>,
+    descriptors: Rc<Descriptors>,
+    /// Descriptors that clients leave to nodes and discovery.
+    spared: usize,
+    settings: api::Settings,
+    draining: Cell<bool>,
+    clients: RefCell<Vec<Rc<Client>>>,
+    left: Notify,
+}
+
+/// Serves until `stop`, then drains.
+pub async fn run(config: Config, stop: impl Future<Output = ()>) -> Result<(), String> {
+    let listen = config.listen;
+    let listener = TcpListener::bind(listen).await.map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
+    let descriptors = Descriptors::new(config.sockets.saturating_sub(OWN_DESCRIPTORS).max(8));
+    let spared = descriptors.free() / 4;
+    let settings = config.settings.clone();
+    let upstreams = Upstreams::new(descriptors.clone(), config.connect_timeout, settings.conn_idle);
+    let (watch, asked) = mpsc::unbounded_channel();
+    let (addr, version) = (config.discovery, config.known.version);
+    let discovery = Discovery::new(addr, version, settings.must_ask_in, descriptors.clone());
+    let engine = Engine::new(config, upstreams.clone(), watch);
+    tokio::task::spawn_local(discovery.follow(engine.clone(), asked));
+    let sweeper = upstreams.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            sleep(Duration::from_secs(1)).await;
+            sweeper.sweep();
+        }
+    });
+    let server = Rc::new(Server {
+        engine,
+        upstreams,
+        descriptors,
+        spared,
+        settings,
+        draining: Cell::new(false),
+        clients: RefCell::default(),
+        left: Notify::new(),
+    });
+    tokio::select! {
+        never = server.accept_all(&listener) => match never {},
+        () = stop => {}
+    }
+    server.drain(listener).await;
+    Ok(())
+}
+
+impl Server {
+    async fn accept_all(self: &Rc<Self>, listener: &TcpListener) -> Infallible {
+        loop {
+            self.accept(listener).await;
+        }
+    }
+
+    /// Takes one connection, once there is a descriptor for it.
+    async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+        let permit = loop {
+            if let Some(permit) = self.descriptors.take(self.spared) {
+                break permit;
+            }
+            if !self.upstreams.yield_idle() {
+                self.yield_client();
+            }
+            self.descriptors.freed().await;
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => self.clone().connected(stream, permit),
+            Err(e) => {
+                // Danger: without descriptors accept fails at once, and again, and again.
+                super::log(format_args!("accept: {e}"));
+                self.upstreams.yield_idle();
+                sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+
+    /// Ends the client's connection that has been without a request for longest.
+    fn yield_client(&self) {
+        let clients = self.clients.borrow();
+        let idle = clients.iter().filter(|c| !c.busy.get() && !c.closing.get());
+        if let Some(client) = idle.min_by_key(|c| c.since.get()) {
+            client.end();
+        }
+    }
+
+    fn connected(self: Rc<Self>, stream: TcpStream, permit: Permit) {
+        let client = Rc::new(Client::default());
+        client.since.set(Some(Instant::now()));
+        self.clients.borrow_mut().push(client.clone());
+        tokio::task::spawn_local(async move {
+            let socket = Socket::new(stream, permit);
+            let service = service_fn(|request| {
+                client.busy.set(true);
+                let (server, socket, client) = (&self, &socket, &client);
+                async move {
+                    let mut response = server.respond(request, socket).await;
+                    if server.draining.get() || client.closing.get() {
+                        let close = HeaderValue::from_static("close");
+                        response.headers_mut().insert(header::CONNECTION, close);
+                    }
+                    client.busy.set(false);
+                    client.since.set(Some(Instant::now()));
+                    Ok::<_, Infallible>(response)
+                }
+            });
+            // Danger: by default hyper drops the request of a client that has ended its sending and still waits.
+            let connection = http1::Builder::new()
+                .half_close(true)
+                .serve_connection(TokioIo::new(Io(socket.clone())), service);
+            let mut connection = std::pin::pin!(connection);
+            loop {
+                // What has come in is read before the connection is asked to end.
+                tokio::select! {
+                    biased;
+                    _ = connection.as_mut() => break,
+                    () = client.close.notified() => connection.as_mut().graceful_shutdown(),
+                }
+            }
+            self.clients.borrow_mut().retain(|c| !Rc::ptr_eq(c, &client));
+            self.left.notify_one();
+        });
+    }
+
+    /// Answers what comes and asks clients away, then ends idle connections, and waits for the rest.
+    async fn drain(self: &Rc<Self>, listener: TcpListener) {
+        super::log("draining");
+        self.draining.set(true);
+        let start = Instant::now();
+        let mut until = start + ACCEPT_FOR;
+        while timeout_at(until.min(start + ACCEPT_MOST), self.accept(&listener)).await.is_ok() {
+            until = until.max(Instant::now() + QUIET_FOR);
+        }
+        drop(listener);
+        self.clients.borrow().iter().for_each(|c| c.end());
+        let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        let end = start + Duration::from_nanos(longest) + END_BEFORE;
+        while !self.clients.borrow().is_empty() {
+            tokio::select! {
+                () = self.left.notified() => {}
+                () = sleep_until(end) => {
+                    super::log("ended with clients still connected");
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn respond(&self, request: Request<Incoming>, socket: &Rc<Socket>) -> Response<Body> {
+        if request.uri().path() == "/_health" {
+            let ready = !self.draining.get() && self.engine.can_serve();
+            return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+        }
+        let may_ask = request.version() == Version::HTTP_11;
+        let asked = match self.asked(request).await {
+            Ok(asked) => asked,
+            Err((status, why)) => return plain(status, why),
+        };
+        let mut ticket: Ticket = self.engine.arrive(asked);
+        tokio::select! {
+            biased;
+            answer = ticket.answer() => respond_with(answer),
+            // Nobody is left to read this.
+            () = socket.hung_up(may_ask) => plain(StatusCode::BAD_GATEWAY, "the client has gone"),
+        }
+    }
+
+    /// Reads a request into the module's terms, or says what is wrong with it.
+    async fn asked(&self, request: Request<Incoming>) -> Result<Asked, (StatusCode, &'static str)> {
+        let (head, body) = request.into_parts();
+        let mut parts = head.uri.path().trim_start_matches('/').split('/');
+        let name = parts.next().unwrap_or("");
+        let class = self.engine.names().classes.iter().position(|c| c == name);
+        let class = class.ok_or((StatusCode::NOT_FOUND, "no such class"))?;
+        let write = match head.method {
+            Method::GET => false,
+            Method::PUT => true,
+            _ => return Err((StatusCode::METHOD_NOT_ALLOWED, "only GET and PUT")),
+        };
+        let settings = &self.settings.classes[class];
+        let patience = match head.headers.get(TIME_LEFT) {
+            None => settings.deadline,
+            Some(told) => time_left(told).ok_or((StatusCode::BAD_REQUEST, "bad X-Time-Left"))?,
+        };
+        if !head.headers.contains_key(CORRELATION_ID) {
+            return Err((StatusCode::BAD_REQUEST, "no X-Correlation-Id"));
+        }
+        if write && settings.effect == Effect::Keyed && !head.headers.contains_key(IDEMPOTENCY_KEY) {
+            return Err((StatusCode::BAD_REQUEST, "no Idempotency-Key"));
+        }
+        let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB");
+        if body.size_hint().lower() > BODY_MOST as u64 {
+            return Err(too_large);
+        }
+        let read = Limited::new(body, BODY_MOST).collect().await;
+        let body = read.map(|b| b.to_bytes()).map_err(|e| match e.is::<LengthLimitError>() {
+            true => too_large,
+            false => (StatusCode::BAD_REQUEST, "the body is broken"),
+        })?;
+        let tenant = head.headers.get(ACCOUNT).and_then(|a| a.to_str().ok());
+        let tenant = tenant.and_then(|a| self.engine.names().tenants.iter().position(|t| t == a));
+        let request = api::Request {
+            id: 0,
+            class: class as u32,
+            tenant: tenant.map(|t| t as u32),
+            key: parts.next_back().filter(|k| !k.is_empty()).map(key),
+            remaining: patience,
+            write,
+            retry: head.headers.get(REPEAT).is_some_and(|v| v == "1"),
+        };
+        let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
+        let uri = path.parse().map_err(|_| (StatusCode::BAD_REQUEST, "bad path"))?;
+        let mut headers = head.headers;
+        strip(&mut headers);
+        Ok(Asked { request, job: Job { method: head.method, uri, headers, body } })
+    }
+}
+
+/// Seconds with decimals, as nanoseconds.
+fn time_left(told: &HeaderValue) -> Option<Nanos> {
+    let text = told.to_str().ok()?.trim();
+    let plain = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    let seconds: f64 = text.parse().ok().filter(|_| plain)?;
+    Some((seconds.min(3600.0) * 1e9) as Nanos)
+}
+
+/// A key as a number: hex as on the simulator's wire, anything else hashed.
+fn key(text: &str) -> u64 {
+    let hex = (text.len() == 16).then(|| u64::from_str_radix(text, 16).ok());
+    hex.flatten().unwrap_or_else(|| api::server_id(text))
+}
+
+/// Takes out what belongs to one connection alone.
+fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+fn respond_with(answer: Answer) -> Response<Body> {
+    match answer {
+        Answer::Served(response) => {
+            let (mut head, body) = response.into_parts();
+            strip(&mut head.headers);
+            head.version = Version::HTTP_11;
+            Response::from_parts(head, Body::new(body))
+        }
+        Answer::Refused(wait) => {
+            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
+            if !wait.is_zero() {
+                if let Ok(advice) = HeaderValue::try_from(format!("{:.3}", wait.as_secs_f64())) {
+                    response.headers_mut().insert(header::RETRY_AFTER, advice);
+                }
+            }
+            response
+        }
+        Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed"),
+        Answer::Overdue => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+    }
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<Body> {
+    let mut response = Response::new(Body::new(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/net/socket.rs
@@ -0,0 +1,180 @@
+//! One TCP stream under hyper: what has been written to it, whether its peer has gone, and the budget of
+//! descriptors that all streams share.
+
+use socket2::SockRef;
+use std::cell::Cell;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// The descriptors that sockets may still take.
+pub struct Descriptors {
+    free: Cell<usize>,
+    freed: Notify,
+}
+
+impl Descriptors {
+    pub fn new(free: usize) -> Rc<Self> {
+        Rc::new(Descriptors { free: Cell::new(free), freed: Notify::new() })
+    }
+
+    pub fn free(&self) -> usize {
+        self.free.get()
+    }
+
+    /// Takes one, if more than `spared` are free.
+    pub fn take(self: &Rc<Self>, spared: usize) -> Option<Permit> {
+        let free = self.free.get();
+        (free > spared).then(|| {
+            self.free.set(free - 1);
+            Permit(self.clone())
+        })
+    }
+
+    /// Waits until one is given back.
+    pub async fn freed(&self) {
+        self.freed.notified().await;
+    }
+}
+
+/// A descriptor taken from the budget; it returns when this is dropped.
+pub struct Permit(Rc<Descriptors>);
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.0.free.set(self.0.free.get() + 1);
+        self.0.freed.notify_one();
+    }
+}
+
+/// A stream that several parties look at: hyper reads and writes it through [`Io`].
+pub struct Socket {
+    stream: TcpStream,
+    /// Bytes were written since [`Socket::begin`].
+    begun: Cell<bool>,
+    /// All that hyper had to write then has been written.
+    whole: Cell<bool>,
+    /// The kernel took no more bytes, so hyper holds some.
+    stalled: Cell<bool>,
+    _permit: Permit,
+}
+
+impl Socket {
+    pub fn new(stream: TcpStream, permit: Permit) -> Rc<Self> {
+        // Without it a small answer waits for the acknowledgement of the one before.
+        let _ = stream.set_nodelay(true);
+        Rc::new(Socket {
+            stream,
+            begun: Cell::new(false),
+            whole: Cell::new(false),
+            stalled: Cell::new(false),
+            _permit: permit,
+        })
+    }
+
+    /// A new message is about to be written.
+    pub fn begin(&self) {
+        self.begun.set(false);
+        self.whole.set(false);
+    }
+
+    /// Whether the message's last byte has been written.
+    pub fn whole(&self) -> bool {
+        self.whole.get()
+    }
+
+    /// Ends both directions now, whoever still holds the stream.
+    pub fn close(&self) {
+        let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Both);
+    }
+
+    /// Returns once the peer has closed the connection while an answer is due to it. Danger: a peer that only
+    /// ended its sending looks the same, and still waits. An interim answer tells them apart: the machine of
+    /// one that is gone resets the connection.
+    pub async fn hung_up(&self, may_ask: bool) {
+        // Of all interests this one wakes for a closed read side and not for bytes, which may be pipelined.
+        let closed = self.stream.ready(Interest::PRIORITY).await;
+        if closed.is_ok() && may_ask && !self.stalled.get() {
+            let asked = self.stream.try_write(b"HTTP/1.1 100 Continue\r\n\r\n");
+            if asked.is_err_and(|e| e.kind() != io::ErrorKind::WouldBlock) {
+                return;
+            }
+        }
+        let _ = self.stream.ready(Interest::ERROR).await;
+    }
+}
+
+/// Hyper's end of a [`Socket`].
+pub struct Io(pub Rc<Socket>);
+
+impl Io {
+    fn poll_send(
+        &self,
+        cx: &mut Context<'_>,
+        send: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            if self.0.stream.poll_write_ready(cx)?.is_pending() {
+                self.0.stalled.set(true);
+                return Poll::Pending;
+            }
+            match send(&self.0.stream) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                sent => {
+                    self.0.begun.set(true);
+                    return Poll::Ready(sent);
+                }
+            }
+        }
+    }
+}
+
+impl AsyncRead for Io {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.stream.poll_read_ready(cx))?;
+            match self.0.stream.try_read(buf.initialize_unfilled()) {
+                Ok(n) => {
+                    buf.advance(n);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Io {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_send(cx, |s| s.try_write(buf))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_send(cx, |s| s.try_write_vectored(bufs))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // Hyper flushes the stream once its own buffer, which holds the whole message, is empty.
+        self.0.stalled.set(false);
+        self.0.whole.set(self.0.begun.get());
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let _ = SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write);
+        Poll::Ready(Ok(()))
+    }
+}
--- /dev/null
+++ b/src/net/upstream.rs
@@ -0,0 +1,303 @@
+//! Connections to cache nodes and the origin, and one attempt on one of them with its outcome.
+
+use super::socket::{Descriptors, Io, Socket};
+use super::{Body, BODY_MOST};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
+use ravenlug::api::{Entry, Nanos, ServerId, State, Status};
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{timeout_at, Instant};
+
+pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
+const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
+const LOOKUP: HeaderName = HeaderName::from_static("x-lookup");
+
+/// A client's request as it goes on to any cache node.
+pub struct Job {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// What came of an attempt.
+pub struct Ended {
+    pub status: Status,
+    pub hit: Option<bool>,
+    /// The answer, where it was served.
+    pub answer: Option<Response<Bytes>>,
+}
+
+impl From<Status> for Ended {
+    fn from(status: Status) -> Self {
+        Ended { status, hit: None, answer: None }
+    }
+}
+
+/// The caller's hold on an attempt while it is out.
+#[derive(Default)]
+pub struct Tether {
+    socket: RefCell<Option<Rc<Socket>>>,
+    barred: Cell<bool>,
+}
+
+impl Tether {
+    /// The request is over: what is not yet written stays unwritten.
+    pub fn bar(&self) {
+        self.barred.set(true);
+    }
+
+    /// Closes the connection now. Danger: the task that writes it may run before the one that is aborted.
+    pub fn cut(&self) {
+        self.bar();
+        if let Some(socket) = self.socket.take() {
+            socket.close();
+        }
+    }
+}
+
+/// An open connection; dropping it closes it.
+struct Connection {
+    sender: SendRequest<Body>,
+    socket: Rc<Socket>,
+    driver: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.socket.close();
+        self.driver.abort();
+    }
+}
+
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+struct Node {
+    addr: Option<SocketAddr>,
+    started: Nanos,
+    ready: bool,
+    /// Counts what makes older connections useless: a restart, a new address, a drain.
+    epoch: u64,
+    idle: Vec<Idle>,
+}
+
+/// All cache nodes that the list names.
+pub struct Upstreams {
+    nodes: RefCell<FxHashMap<ServerId, Node>>,
+    descriptors: Rc<Descriptors>,
+    connect_timeout: Duration,
+    idle_most: Duration,
+    epochs: Cell<u64>,
+}
+
+impl Upstreams {
+    pub fn new(descriptors: Rc<Descriptors>, connect_timeout: Duration, conn_idle: Nanos) -> Rc<Self> {
+        // Danger: a request written to a connection that its node is just closing ends as a reset, and may
+        // have run. The node counts from its own last byte, so leave it a good part of the time.
+        let idle_most = match conn_idle {
+            0 => Duration::from_secs(5),
+            limit => Duration::from_nanos(limit / 4 * 3),
+        };
+        let nodes = RefCell::default();
+        Rc::new(Upstreams { nodes, descriptors, connect_timeout, idle_most, epochs: Cell::new(0) })
+    }
+
+    /// Takes news of the list; `whole` when nodes that it does not name are gone.
+    pub fn update(&self, whole: bool, entries: &[(Entry, Option<SocketAddr>)]) {
+        let mut nodes = self.nodes.borrow_mut();
+        if whole {
+            let named: FxHashSet<ServerId> = entries.iter().map(|(e, _)| e.server).collect();
+            nodes.retain(|server, _| named.contains(server));
+        }
+        for (entry, addr) in entries {
+            if entry.state == State::Gone {
+                nodes.remove(&entry.server);
+                continue;
+            }
+            let ready = entry.state == State::Ready;
+            let old = nodes.get(&entry.server);
+            if old.is_some_and(|n| n.addr == *addr && n.started == entry.started && n.ready == ready) {
+                continue;
+            }
+            self.epochs.set(self.epochs.get() + 1);
+            let epoch = self.epochs.get();
+            // The idle connections of the old one close here.
+            nodes.insert(
+                entry.server,
+                Node { addr: *addr, started: entry.started, ready, epoch, idle: Vec::new() },
+            );
+        }
+    }
+
+    /// Whether any node takes work.
+    pub fn any_ready(&self) -> bool {
+        self.nodes.borrow().values().any(|n| n.ready && n.addr.is_some())
+    }
+
+    /// Closes the idle connections to a node.
+    pub fn close_idle(&self, server: ServerId) {
+        if let Some(node) = self.nodes.borrow_mut().get_mut(&server) {
+            node.idle.clear();
+        }
+    }
+
+    /// Closes idle connections that have ended or stood too long.
+    pub fn sweep(&self) {
+        let keep = |i: &Idle| i.since.elapsed() < self.idle_most && !i.connection.sender.is_closed();
+        self.nodes.borrow_mut().values_mut().for_each(|n| n.idle.retain(keep));
+    }
+
+    /// Closes the connection that has been idle for longest, to free its descriptor; false if there is none.
+    pub fn yield_idle(&self) -> bool {
+        let mut nodes = self.nodes.borrow_mut();
+        let oldest = nodes.values_mut().filter(|n| !n.idle.is_empty()).min_by_key(|n| n.idle[0].since);
+        oldest.map(|n| n.idle.remove(0)).is_some()
+    }
+
+    /// One attempt: at most `wait` long.
+    pub async fn attempt(&self, server: ServerId, job: &Job, wait: Duration, tether: &Tether) -> Ended {
+        let due = Instant::now() + wait;
+        match timeout_at(due, self.exchange(server, job, due, tether)).await {
+            Ok(ended) => ended,
+            Err(_) => {
+                let written = tether.socket.borrow().as_ref().is_some_and(|s| s.whole());
+                // A request that was not written whole has not run.
+                if written { Status::Timeout } else { Status::ConnectFailed }.into()
+            }
+        }
+    }
+
+    async fn exchange(&self, server: ServerId, job: &Job, due: Instant, tether: &Tether) -> Ended {
+        loop {
+            let Some((addr, epoch)) = self.open_to(server) else { return Status::Moot.into() };
+            let (mut connection, reused) = match self.newest(server) {
+                Some(connection) => (connection, true),
+                None => match self.connect(addr).await {
+                    Some(connection) => (connection, false),
+                    None => return Status::ConnectFailed.into(),
+                },
+            };
+            if connection.sender.ready().await.is_err() {
+                if reused {
+                    continue;
+                }
+                return Status::ConnectFailed.into();
+            }
+            // Danger: while the connection came up the node may have been told to drain or have restarted, or
+            // the request may have had its answer. Nothing may be written then.
+            if tether.barred.get() || self.open_to(server).is_none_or(|(_, now)| now != epoch) {
+                return Status::Moot.into();
+            }
+            connection.socket.begin();
+            tether.socket.replace(Some(connection.socket.clone()));
+            let sent = connection.sender.send_request(request(job, addr, due)).await;
+            let Ok(response) = sent else {
+                // Danger: after its last byte the request may have run, and is not for this side to repeat.
+                if connection.socket.whole() {
+                    return Status::Reset.into();
+                }
+                if reused {
+                    continue;
+                }
+                return Status::ConnectFailed.into();
+            };
+            let (ended, reusable) = read(response).await;
+            if reusable && connection.socket.whole() {
+                self.keep(server, epoch, connection);
+            }
+            return ended;
+        }
+    }
+
+    /// Where a node takes new work.
+    fn open_to(&self, server: ServerId) -> Option<(SocketAddr, u64)> {
+        let nodes = self.nodes.borrow();
+        let node = nodes.get(&server).filter(|n| n.ready)?;
+        Some((node.addr?, node.epoch))
+    }
+
+    fn newest(&self, server: ServerId) -> Option<Connection> {
+        let mut nodes = self.nodes.borrow_mut();
+        let idle = &mut nodes.get_mut(&server)?.idle;
+        while let Some(i) = idle.pop() {
+            if i.since.elapsed() < self.idle_most && !i.connection.sender.is_closed() {
+                return Some(i.connection);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, server: ServerId, epoch: u64, connection: Connection) {
+        if let Some(node) = self.nodes.borrow_mut().get_mut(&server).filter(|n| n.epoch == epoch && n.ready) {
+            node.idle.push(Idle { connection, since: Instant::now() });
+        }
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Option<Connection> {
+        let permit = loop {
+            match self.descriptors.take(0) {
+                Some(permit) => break permit,
+                None if self.yield_idle() => tokio::task::yield_now().await,
+                None => return None,
+            }
+        };
+        let connecting = TcpStream::connect(addr);
+        let stream = tokio::time::timeout(self.connect_timeout, connecting).await.ok()?.ok()?;
+        let socket = Socket::new(stream, permit);
+        let (sender, driver) = http1::handshake(TokioIo::new(Io(socket.clone()))).await.ok()?;
+        let driver = tokio::task::spawn_local(driver).abort_handle();
+        Some(Connection { sender, socket, driver })
+    }
+}
+
+fn request(job: &Job, addr: SocketAddr, due: Instant) -> Request<Body> {
+    let mut request = Request::new(Body::new(job.body.clone()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.uri.clone();
+    let headers = request.headers_mut();
+    *headers = job.headers.clone();
+    let left = due.saturating_duration_since(Instant::now()).as_secs_f64();
+    if let Ok(left) = HeaderValue::try_from(format!("{left:.4}")) {
+        headers.insert(TIME_LEFT, left);
+    }
+    if !headers.contains_key(HOST) {
+        if let Ok(host) = HeaderValue::try_from(addr.to_string()) {
+            headers.insert(HOST, host);
+        }
+    }
+    request
+}
+
+/// Reads an answer to its end; also tells whether the connection can carry another. Danger: passing on a body
+/// while it still comes would leave the client with half an answer when it breaks.
+async fn read(response: Response<Incoming>) -> (Ended, bool) {
+    let (head, body) = response.into_parts();
+    let body = match Limited::new(body, BODY_MOST).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.is::<http_body_util::LengthLimitError>() => return (Status::Error.into(), false),
+        Err(_) => return (Status::Reset.into(), false),
+    };
+    let unprocessed = head.headers.get(&UNPROCESSED).is_some_and(|v| v == "1");
+    let status = match head.status {
+        StatusCode::OK => Status::Ok,
+        StatusCode::NOT_FOUND => Status::Miss,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Status::Full,
+        _ => Status::Error,
+    };
+    let hit = head.headers.get(&LOOKUP).map(|v| v == "hit");
+    let answer = (status == Status::Ok).then(|| Response::from_parts(head, body));
+    (Ended { status, hit, answer }, true)
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -223,10 +223,11 @@
     numbers.collect::<Result<_, _>>().map_err(|_| format!("{path} has a bad value: {value:?}"))
 }
 
-fn settings(p: &mut Parts) -> Result<Settings, String> {
+/// Reads settings from `path=value` pairs; unknown paths are passed over.
+pub fn settings<'a>(pairs: impl IntoIterator<Item = &'a str>) -> Result<Settings, String> {
     let mut s = Settings::default();
     let mut origin = -1i64;
-    for pair in p {
+    for pair in pairs {
         let Some((path, v)) = pair.split_once('=') else {
             return Err(format!("setting has no value: {pair:?}"));
         };
