--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -81,6 +81,8 @@
 pub async fn run(config: Config, stop: impl Future<Output = ()>) -> Result<(), String> {
     let listen = config.listen;
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
+    let bound = listener.local_addr().map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
+    super::log(format_args!("listening on {bound}"));
     let descriptors = Descriptors::new(config.sockets.saturating_sub(OWN_DESCRIPTORS).max(8));
     let spared = descriptors.free() / 4;
     let settings = config.settings.clone();
--- /dev/null
+++ b/tests/proxy.rs
@@ -0,0 +1,626 @@
+//! The real program between clients, nodes and discovery that a test plays by hand on loopback sockets.
+
+use serde_json::{json, Value};
+use socket2::{Domain, Socket, Type};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc;
+use std::time::Duration;
+
+/// How long a step may take before the test is given up: far longer than any takes.
+const LONG: Duration = Duration::from_secs(30);
+
+/// A message as it came: its first line, headers in lower case, and body.
+#[derive(Debug, PartialEq)]
+struct Message {
+    line: String,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+impl Message {
+    fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    fn status(&self) -> u16 {
+        self.line.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status line")
+    }
+}
+
+/// One end of a connection.
+struct Peer(BufReader<TcpStream>);
+
+impl Peer {
+    fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(LONG)).expect("time-out");
+        stream.set_write_timeout(Some(LONG)).expect("time-out");
+        Peer(BufReader::new(stream))
+    }
+
+    fn to(addr: SocketAddr) -> Self {
+        Self::new(TcpStream::connect(addr).expect("connected"))
+    }
+
+    fn write(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).expect("written");
+    }
+
+    /// The next message; `None` when the connection has ended.
+    fn read(&mut self) -> Option<Message> {
+        let mut line = String::new();
+        match self.0.read_line(&mut line) {
+            Ok(0) => return None,
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return None,
+            read => read.expect("a line"),
+        };
+        let mut headers = Vec::new();
+        loop {
+            let mut header = String::new();
+            self.0.read_line(&mut header).expect("a header");
+            let Some((name, value)) = header.trim_end().split_once(':') else { break };
+            headers.push((name.to_lowercase(), value.trim().to_owned()));
+        }
+        let mut message = Message { line: line.trim_end().to_owned(), headers, body: Vec::new() };
+        let length = message.header("content-length").map_or(0, |l| l.parse().expect("a length"));
+        message.body.resize(length, 0);
+        self.0.read_exact(&mut message.body).expect("a body");
+        Some(message)
+    }
+
+    /// The next final answer: interim ones are passed over.
+    fn answer(&mut self) -> Message {
+        loop {
+            let message = self.read().expect("an answer");
+            if message.status() >= 200 {
+                return message;
+            }
+        }
+    }
+
+    fn request(&mut self) -> Message {
+        self.read().expect("a request")
+    }
+
+    fn reply(&mut self, status: &str, headers: &str, body: &str) {
+        let length = body.len();
+        self.write(&format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n{body}"));
+    }
+
+    fn ask(&mut self, class: &str, more: &str) {
+        self.write(&get(class, more));
+    }
+}
+
+fn get(class: &str, more: &str) -> String {
+    format!(
+        "GET /{class}/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: 9b1f03aa\r\n\
+         X-Account: acme\r\n{more}\r\n"
+    )
+}
+
+/// A server whose connections the test takes one by one.
+struct Server {
+    addr: SocketAddr,
+    taken: mpsc::Receiver<TcpStream>,
+}
+
+impl Server {
+    fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+        let addr = listener.local_addr().expect("an address");
+        let (give, taken) = mpsc::channel();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                if give.send(stream).is_err() {
+                    return;
+                }
+            }
+        });
+        Server { addr, taken }
+    }
+
+    fn take(&self) -> Peer {
+        Peer::new(self.taken.recv_timeout(LONG).expect("a connection"))
+    }
+
+    fn none_came(&self) -> bool {
+        self.taken.try_recv().is_err()
+    }
+}
+
+fn member(id: &str, addr: SocketAddr, kind: &str, state: &str) -> Value {
+    json!({"id": id, "addr": addr.to_string(), "zone": "a", "kind": kind, "cell": 0, "state": state,
+           "weight": 1.0, "started_ms": 0})
+}
+
+fn list(version: u64, full: bool, servers: &[Value]) -> Value {
+    json!({"version": version, "full": full, "servers": servers})
+}
+
+fn class(name: &str, effect: &str) -> Value {
+    json!({"name": name, "effect": effect, "group": "all", "promise_ns": 20_000_000_000u64,
+           "deadline_ns": 60_000_000_000u64, "dedup_window_ns": 60_000_000_000u64, "late_value": 0.5,
+           "value": 1.0, "stream": false})
+}
+
+fn config(discovery: SocketAddr, servers: &[Value]) -> Value {
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "news": {"of": ["a", "later"]},
+        "known": list(41, true, servers),
+        "settings": {
+            "categories": [class("read", "safe"), class("set", "keyed"), class("order", "unsafe")],
+            "customers": [{"name": "acme", "quota_rps": 1000.0, "fraction": 1.0}],
+            "localities": ["a"], "machine_types": ["std", "origin"], "zone": 0, "n_instances": 1,
+            "self_index": 0, "discovery": "subscribe", "over_share_worth": 0.1, "worth_by": "request",
+            "family_info": {"mode": "aside", "origin_kind": 1},
+            "caps": {"attempts_cap": 5, "cancelling": true, "second_copies": true,
+                     "conn_idle_ns": 60_000_000_000u64, "connect_timeout_ns": 20_000_000_000u64,
+                     "max_retry_after_ns": 2_000_000_000u64},
+            "rules": {"cold_from": 0.1, "cold_ns": 20_000_000_000u64, "fall_multiple": 3.0,
+                      "fall_ns": 3_000_000_000u64, "must_ask_in_ns": 40_000_000_000u64},
+            "an_unknown_key": 7
+        }
+    })
+}
+
+/// The program, ended when the test is over.
+struct Proxy {
+    child: Child,
+    addr: SocketAddr,
+    log: BufReader<ChildStderr>,
+    file: PathBuf,
+}
+
+fn start(text: &str) -> (Child, PathBuf) {
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    let name = format!("rushquay-{}-{}.json", std::process::id(), NUMBER.fetch_add(1, Ordering::Relaxed));
+    let file = std::env::temp_dir().join(name);
+    std::fs::write(&file, text).expect("a configuration file");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_rushquay"));
+    command.env_clear().env("PROXY_CONFIG", &file).stderr(Stdio::piped());
+    (command.spawn().expect("started"), file)
+}
+
+impl Proxy {
+    fn new(config: &Value) -> Self {
+        let (mut child, file) = start(&config.to_string());
+        let mut log = BufReader::new(child.stderr.take().expect("a log"));
+        let mut line = String::new();
+        log.read_line(&mut line).expect("a first line");
+        let addr = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
+        Proxy { child, addr: addr.unwrap_or_else(|| panic!("no address in {line:?}")), log, file }
+    }
+
+    fn client(&self) -> Peer {
+        Peer::to(self.addr)
+    }
+
+    fn terminate(&self) {
+        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        assert!(done.expect("kill").success());
+    }
+
+    fn health(&self) -> u16 {
+        let mut client = self.client();
+        client.write("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+        client.answer().status()
+    }
+
+    /// Waits for a line of the log.
+    fn logged(&mut self, part: &str) {
+        let mut line = String::new();
+        while !line.contains(part) {
+            line.clear();
+            assert!(self.log.read_line(&mut line).expect("a line") > 0, "the log ended before {part:?}");
+        }
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// A proxy with one cache node, an origin and discovery.
+struct Rig {
+    proxy: Proxy,
+    cache: Server,
+    origin: Server,
+    discovery: Server,
+}
+
+fn rig() -> Rig {
+    let (cache, origin, discovery) = (Server::new(), Server::new(), Server::new());
+    let servers = [member("c1", cache.addr, "std", "ready"), member("o1", origin.addr, "origin", "ready")];
+    let proxy = Proxy::new(&config(discovery.addr, &servers));
+    Rig { proxy, cache, origin, discovery }
+}
+
+#[test]
+fn a_hit_is_passed_on_unchanged_and_its_connection_used_again() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    client.ask("read", "X-Time-Left: 30.5\r\nX-Other: kept\r\nConnection: x-own\r\nX-Own: dropped\r\n");
+    let mut node = r.cache.take();
+    let asked = node.request();
+    assert_eq!(asked.line, "GET /read/7f3a9c21e0b4d655 HTTP/1.1");
+    assert_eq!(asked.header("x-correlation-id"), Some("9b1f03aa"));
+    assert_eq!((asked.header("x-other"), asked.header("x-own")), (Some("kept"), None));
+    let left: f64 = asked.header("x-time-left").expect("told").parse().expect("a number");
+    assert!(left > 0.0 && left < 30.5, "{left}");
+    node.reply("200 OK", "X-Lookup: hit\r\n", "21.5 C");
+    let answer = client.answer();
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"21.5 C".as_slice()));
+    client.ask("read", "");
+    node.request();
+    node.reply("200 OK", "X-Lookup: hit\r\n", "");
+    assert_eq!(client.answer().status(), 200);
+    assert!(r.origin.none_came());
+}
+
+#[test]
+fn a_miss_is_answered_by_the_origin() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    client.ask("read", "");
+    let mut node = r.cache.take();
+    node.request();
+    node.reply("404 Not Found", "X-Lookup: miss\r\n", "");
+    let mut origin = r.origin.take();
+    assert_eq!(origin.request().line, "GET /read/7f3a9c21e0b4d655 HTTP/1.1");
+    origin.reply("200 OK", "", "value");
+    assert_eq!(client.answer().body, b"value");
+}
+
+#[test]
+fn a_write_goes_to_the_origin_with_its_body_and_key() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    client.write(
+        "PUT /set/7f3a9c21e0b4d655?by=console HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: 1\r\n\
+         Idempotency-Key: k1\r\nContent-Length: 4\r\n\r\n20.0",
+    );
+    let mut origin = r.origin.take();
+    let asked = origin.request();
+    assert_eq!(asked.line, "PUT /set/7f3a9c21e0b4d655?by=console HTTP/1.1");
+    assert_eq!((asked.header("idempotency-key"), asked.body.as_slice()), (Some("k1"), b"20.0".as_slice()));
+    origin.reply("200 OK", "", "");
+    assert_eq!(client.answer().status(), 200);
+}
+
+#[test]
+fn what_is_turned_away_unseen_is_refused_at_once() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    client.ask("order", "");
+    let mut node = r.cache.take();
+    node.request();
+    node.reply("503 Service Unavailable", "X-Unprocessed: 1\r\n", "");
+    assert_eq!(client.answer().status(), 503);
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_is_failed_not_refused() {
+    for close_early in [true, false] {
+        let r = rig();
+        let mut client = r.proxy.client();
+        client.ask("order", "");
+        let mut node = r.cache.take();
+        node.request();
+        if !close_early {
+            node.reply("503 Service Unavailable", "", "");
+        }
+        drop(node);
+        assert_eq!(client.answer().status(), 502);
+    }
+}
+
+#[test]
+fn an_unsafe_request_that_found_no_connection_is_refused() {
+    let (cache, discovery) = (TcpListener::bind("127.0.0.1:0").expect("bound"), Server::new());
+    let addr = cache.local_addr().expect("an address");
+    drop(cache);
+    let proxy = Proxy::new(&config(discovery.addr, &[member("c1", addr, "std", "ready")]));
+    let mut client = proxy.client();
+    client.ask("order", "");
+    assert_eq!(client.answer().status(), 503);
+}
+
+#[test]
+fn half_an_answer_of_a_node_never_reaches_the_client() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    client.ask("order", "");
+    let mut node = r.cache.take();
+    node.request();
+    node.write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n123");
+    drop(node);
+    assert_eq!(client.answer().status(), 502);
+}
+
+#[test]
+fn an_idle_connection_that_ended_is_not_written_to() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    client.ask("order", "");
+    let mut node = r.cache.take();
+    node.request();
+    node.reply("200 OK", "X-Lookup: hit\r\nConnection: close\r\n", "");
+    assert_eq!(client.answer().status(), 200);
+    drop(node);
+    client.ask("order", "");
+    let mut node = r.cache.take();
+    node.request();
+    node.reply("200 OK", "X-Lookup: hit\r\n", "");
+    assert_eq!(client.answer().status(), 200);
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_attempt_along() {
+    for pipelined in ["", "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"] {
+        let r = rig();
+        let mut client = r.proxy.client();
+        client.write(&(get("read", "") + pipelined));
+        let mut node = r.cache.take();
+        node.request();
+        drop(client);
+        assert_eq!(node.read(), None);
+        assert!(r.origin.none_came());
+    }
+}
+
+#[test]
+fn a_client_that_ended_its_sending_still_gets_its_answer() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    client.ask("read", "");
+    client.0.get_mut().shutdown(Shutdown::Write).expect("half closed");
+    let mut node = r.cache.take();
+    node.request();
+    node.reply("200 OK", "X-Lookup: hit\r\n", "value");
+    assert_eq!(client.answer().body, b"value");
+}
+
+#[test]
+fn pipelined_requests_are_answered_in_turn() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    client.write(&(get("read", "") + &get("read", "")));
+    let mut node = r.cache.take();
+    for body in ["one", "two"] {
+        node.request();
+        node.reply("200 OK", "X-Lookup: hit\r\n", body);
+        assert_eq!(client.answer().body, body.as_bytes());
+    }
+}
+
+#[test]
+fn silence_ends_with_an_answer_in_time_and_a_closed_connection() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    client.ask("order", "X-Time-Left: 0.3\r\n");
+    let mut node = r.cache.take();
+    node.request();
+    assert_eq!(client.answer().status(), 502);
+    assert_eq!(node.read(), None);
+}
+
+#[test]
+fn a_drain_closes_idle_connections_and_the_watch_goes_on() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    client.ask("read", "");
+    let mut node = r.cache.take();
+    node.request();
+    node.reply("200 OK", "X-Lookup: hit\r\n", "");
+    client.answer();
+    let mut watch = r.discovery.take();
+    assert!(watch.request().line.starts_with("GET /catalog/members?from=41&hold_ms="));
+    let drained = list(42, false, &[member("c1", r.cache.addr, "std", "draining")]);
+    watch.reply("200 OK", "", &drained.to_string());
+    assert!(watch.request().line.starts_with("GET /catalog/members?from=42&hold_ms="));
+    assert_eq!(node.read(), None);
+    client.ask("read", "");
+    assert_eq!(client.answer().status(), 503);
+}
+
+#[test]
+fn a_new_address_is_used_and_the_old_one_left() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    client.ask("read", "");
+    let mut node = r.cache.take();
+    node.request();
+    node.reply("200 OK", "X-Lookup: hit\r\n", "");
+    client.answer();
+    let moved = Server::new();
+    let mut watch = r.discovery.take();
+    watch.request();
+    watch.reply("200 OK", "", &list(42, false, &[member("c1", moved.addr, "std", "ready")]).to_string());
+    assert_eq!(node.read(), None);
+    client.ask("read", "");
+    let mut node = moved.take();
+    node.request();
+    node.reply("200 OK", "X-Lookup: hit\r\n", "moved");
+    assert_eq!(client.answer().body, b"moved");
+}
+
+#[test]
+fn nothing_is_written_to_a_node_that_drains_while_its_connection_comes_up() {
+    // A full backlog holds the connection back until the drain has been told.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("bound");
+    socket.listen(0).expect("listening");
+    let listener = TcpListener::from(socket);
+    let addr = listener.local_addr().expect("an address");
+    let filler = TcpStream::connect(addr).expect("connected");
+    let discovery = Server::new();
+    let proxy = Proxy::new(&config(discovery.addr, &[member("c1", addr, "std", "ready")]));
+    let mut client = proxy.client();
+    let mut watch = discovery.take();
+    watch.request();
+    client.ask("order", "");
+    // The next health answer comes after the attempt has begun.
+    assert_eq!(proxy.health(), 200);
+    watch.reply("200 OK", "", &list(42, false, &[member("c1", addr, "std", "draining")]).to_string());
+    watch.request();
+    drop(listener.accept().expect("the filler"));
+    drop(filler);
+    let (stream, _) = listener.accept().expect("the attempt's connection");
+    assert_eq!(Peer::new(stream).read(), None);
+    assert_eq!(client.answer().status(), 503);
+}
+
+#[test]
+fn a_failed_discovery_keeps_the_old_list_and_is_asked_again() {
+    let r = rig();
+    let mut watch = r.discovery.take();
+    watch.request();
+    watch.reply("503 Service Unavailable", "", "");
+    let mut again = r.discovery.take();
+    assert!(again.request().line.contains("from=41"));
+    let mut client = r.proxy.client();
+    client.ask("read", "");
+    let mut node = r.cache.take();
+    node.request();
+    node.reply("200 OK", "X-Lookup: hit\r\n", "");
+    assert_eq!(client.answer().status(), 200);
+}
+
+#[test]
+fn a_watch_whose_kept_connection_ended_goes_on_at_once() {
+    let r = rig();
+    let mut watch = r.discovery.take();
+    watch.request();
+    watch.reply("200 OK", "Connection: close\r\n", &list(42, false, &[]).to_string());
+    drop(watch);
+    assert!(r.discovery.take().request().line.contains("from=42"));
+}
+
+#[test]
+fn health_waits_for_a_node_that_takes_work() {
+    let (cache, discovery) = (Server::new(), Server::new());
+    let mut unknown = config(discovery.addr, &[]);
+    unknown.as_object_mut().expect("an object").remove("known");
+    let proxy = Proxy::new(&unknown);
+    assert_eq!(proxy.health(), 503);
+    let mut watch = discovery.take();
+    assert_eq!(watch.request().line, "GET /catalog/members HTTP/1.1");
+    watch.reply("200 OK", "", &list(1, true, &[member("c1", cache.addr, "std", "ready")]).to_string());
+    watch.request();
+    assert_eq!(proxy.health(), 200);
+}
+
+#[test]
+fn sigterm_answers_what_is_taken_and_what_still_comes() {
+    let mut r = rig();
+    let (mut early, mut idle) = (r.proxy.client(), r.proxy.client());
+    idle.write("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert_eq!(idle.answer().status(), 200);
+    early.ask("read", "");
+    let mut node = r.cache.take();
+    node.request();
+    r.proxy.terminate();
+    r.proxy.logged("draining");
+    let mut late = r.proxy.client();
+    late.ask("read", "");
+    let mut other = r.cache.take();
+    other.request();
+    // The idle connection has ended, so nothing but the two requests is waited for.
+    assert_eq!(idle.read(), None);
+    for (node, client) in [(&mut node, &mut early), (&mut other, &mut late)] {
+        node.reply("200 OK", "X-Lookup: hit\r\n", "");
+        let answer = client.answer();
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    }
+    assert_eq!(r.proxy.child.wait().expect("ended").code(), Some(0));
+}
+
+#[test]
+fn bad_requests_get_one_clear_answer_and_the_process_stays_up() {
+    let r = rig();
+    let long = format!("Content-Length: {}\r\n", 65 << 10);
+    let put = |class: &str, more: &str| {
+        format!("PUT /{class}/1 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: 1\r\n{more}\r\n")
+    };
+    let cases = [
+        (get("nosuch", ""), 404),
+        ("GET / HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: 1\r\n\r\n".to_owned(), 404),
+        (get("read", "X-Time-Left: soon\r\n"), 400),
+        (get("read", "X-Time-Left: -1\r\n"), 400),
+        (get("read", "X-Time-Left: NaN\r\n"), 400),
+        (get("read", "X-Time-Left: \r\n"), 400),
+        ("GET /read/1 HTTP/1.1\r\nHost: a\r\n\r\n".to_owned(), 400),
+        ("DELETE /read/1 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: 1\r\n\r\n".to_owned(), 405),
+        (put("set", "Content-Length: 0\r\n"), 400),
+        (put("order", &long), 413),
+        (put("order", "Transfer-Encoding: chunked\r\n") + "10400\r\n" + &"x".repeat(0x10400), 413),
+        ("nonsense\r\n\r\n".to_owned(), 400),
+    ];
+    for (text, status) in cases {
+        let mut client = r.proxy.client();
+        client.write(&text);
+        assert_eq!(client.answer().status(), status, "{:?}", text.chars().take(90).collect::<String>());
+    }
+    assert_eq!(r.proxy.health(), 200);
+    assert!(r.cache.none_came() && r.origin.none_came());
+}
+
+#[test]
+fn a_bad_configuration_is_named_in_one_line() {
+    let addr = Server::new().addr;
+    let broken = |path: &[&str], value: Value| {
+        let mut config = config(addr, &[]);
+        *path.iter().fold(&mut config, |at, name| &mut at[*name]) = value;
+        config.to_string()
+    };
+    let cases = [
+        ("{".to_owned(), "not JSON"),
+        (broken(&["listen"], json!(null)), "PROXY_LISTEN"),
+        (broken(&["discovery"], json!("nowhere")), "PROXY_DISCOVERY"),
+        (broken(&["settings"], json!(null)), "settings"),
+        (broken(&["settings", "categories"], json!([])), "settings.categories"),
+        (broken(&["settings", "categories"], json!([{"deadline_ns": 1}])), "settings.categories.0.name"),
+        (broken(&["settings", "categories"], json!([{"name": "a"}])), "categories.0.deadline_ns"),
+        (broken(&["settings", "caps", "attempts_cap"], json!("many")), "caps.attempts_cap"),
+        (broken(&["known"], json!({"servers": 3})), "known"),
+        (broken(&["limits", "sockets"], json!("all")), "limits.sockets"),
+    ];
+    for (text, named) in cases {
+        let (child, file) = start(&text);
+        let ended = child.wait_with_output().expect("ended");
+        let _ = std::fs::remove_file(file);
+        let log = String::from_utf8(ended.stderr).expect("text");
+        assert!(log.contains(named) && log.lines().count() == 1, "{named}: {log:?}");
+        assert_eq!(ended.status.code(), Some(1));
+    }
+    let unset = Command::new(env!("CARGO_BIN_EXE_rushquay")).env_clear().output().expect("run");
+    assert!(!unset.status.success() && String::from_utf8_lossy(&unset.stderr).contains("PROXY_CONFIG"));
+}
+
+#[test]
+fn idle_clients_yield_their_descriptors_and_waiting_ones_keep_theirs() {
+    let (cache, discovery) = (Server::new(), Server::new());
+    let mut small = config(discovery.addr, &[member("c1", cache.addr, "std", "ready")]);
+    small["limits"]["sockets"] = json!(40);
+    let proxy = Proxy::new(&small);
+    let mut waiting = proxy.client();
+    waiting.ask("read", "");
+    let mut node = cache.take();
+    node.request();
+    let mut idle: Vec<Peer> = (0..40).map(|_| proxy.client()).collect();
+    let last = idle.last_mut().expect("one");
+    last.write("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert_eq!(last.answer().status(), 200);
+    assert_eq!(idle[0].read(), None);
+    node.reply("200 OK", "X-Lookup: hit\r\n", "value");
+    assert_eq!(waiting.answer().body, b"value");
+}
