Watch the list from version 0 as well

Ruled out: answers that carry changes, and answers that end early. Cause: src/net/discovery.rs took version 0 for 'no list yet', and the list that the proxy starts with has version 0, so each call asked for the whole list and no watch ever stood. A drain then waited for the next call, and discovery, which all proxies share, worked for nothing. Mend: the version is absent until a list is known; lists must name theirs. Tests: a_list_of_version_0_is_watched_from_there fails without it; a_watch_whose_kept_connection_ended_goes_on_at_once now also fails when the call is not repeated.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -18,7 +18,7 @@
     pub connect_timeout: Duration,
     pub settings: Settings,
     pub names: Names,
-    pub known: Members,
+    pub known: Option<Members>,
 }
 
 /// The names that stand on the sockets for what the module knows by number.
@@ -31,8 +31,7 @@
 }
 
 /// A list of cache nodes in discovery's form.
-#[derive(Deserialize, Default)]
-#[serde(default)]
+#[derive(Deserialize)]
 pub struct Members {
     pub version: u64,
     pub full: bool,
@@ -119,8 +118,8 @@
             return Err(format!("settings.categories.{i}.deadline_ns is missing or 0"));
         }
         let known = match root.get("known").filter(|k| !k.is_null()) {
-            Some(known) => Members::deserialize(known).map_err(|e| format!("known: {e}"))?,
-            None => Members::default(),
+            Some(known) => Some(Members::deserialize(known).map_err(|e| format!("known: {e}"))?),
+            None => None,
         };
         let seed = match &root["seed"] {
             Value::String(s) => u64::from_str_radix(s, 16).map_err(|_| format!("seed is not hex: {s:?}"))?,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -24,14 +24,20 @@
 
 pub struct Discovery {
     addr: SocketAddr,
-    version: u64,
+    /// Of the list held; none: there is no list yet.
+    version: Option<u64>,
     hold: Duration,
     descriptors: Rc<Descriptors>,
     sender: Option<SendRequest<Body>>,
 }
 
 impl Discovery {
-    pub fn new(addr: SocketAddr, version: u64, must_ask_in: Nanos, descriptors: Rc<Descriptors>) -> Self {
+    pub fn new(
+        addr: SocketAddr,
+        version: Option<u64>,
+        must_ask_in: Nanos,
+        descriptors: Rc<Descriptors>,
+    ) -> Self {
         // Half the time in which the list must be asked for: a watch that died unseen is replaced before the
         // proxy counts as told what it never heard.
         let hold =
@@ -45,7 +51,7 @@
             loop {
                 match self.call().await {
                     Ok(members) => {
-                        self.version = members.version;
+                        self.version = Some(members.version);
                         let kind = if members.full { ListKind::Full } else { ListKind::Delta };
                         engine.list(kind, &members.servers);
                     }
@@ -83,8 +89,9 @@
         };
         sender.ready().await.map_err(|e| format!("connection lost: {e}"))?;
         let path = match self.version {
-            0 => "/catalog/members".to_owned(),
-            version => format!("/catalog/members?from={version}&hold_ms={}", self.hold.as_millis()),
+            None => "/catalog/members".to_owned(),
+            // Danger: 0 is a version like any other; without it each call is for the whole list, and no watch.
+            Some(version) => format!("/catalog/members?from={version}&hold_ms={}", self.hold.as_millis()),
         };
         let request = Request::get(path).header(HOST, self.addr.to_string()).body(Body::default());
         let response = sender.send_request(request.map_err(|e| e.to_string())?).await;
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -103,7 +103,7 @@
             watch,
             myself: myself.clone(),
         });
-        engine.list(ListKind::Cached, &config.known.servers);
+        engine.list(ListKind::Cached, config.known.as_ref().map_or(&[], |known| &known.servers));
         engine
     }
 
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -88,7 +88,7 @@
     let settings = config.settings.clone();
     let upstreams = Upstreams::new(descriptors.clone(), config.connect_timeout, settings.conn_idle);
     let (watch, asked) = mpsc::unbounded_channel();
-    let (addr, version) = (config.discovery, config.known.version);
+    let (addr, version) = (config.discovery, config.known.as_ref().map(|known| known.version));
     let discovery = Discovery::new(addr, version, settings.must_ask_in, descriptors.clone());
     let engine = Engine::new(config, upstreams.clone(), watch);
     tokio::task::spawn_local(discovery.follow(engine.clone(), asked));
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -211,13 +211,16 @@
         client.answer().status()
     }
 
-    /// Waits for a line of the log.
-    fn logged(&mut self, part: &str) {
-        let mut line = String::new();
-        while !line.contains(part) {
-            line.clear();
+    /// Waits for a line of the log; returns how many came before it.
+    fn logged(&mut self, part: &str) -> usize {
+        for before in 0.. {
+            let mut line = String::new();
             assert!(self.log.read_line(&mut line).expect("a line") > 0, "the log ended before {part:?}");
+            if line.contains(part) {
+                return before;
+            }
         }
+        unreachable!("the log is endless")
     }
 }
 
@@ -495,14 +498,27 @@
     assert_eq!(client.answer().status(), 200);
 }
 
+#[test]
+fn a_list_of_version_0_is_watched_from_there() {
+    let discovery = Server::new();
+    let mut first = config(discovery.addr, &[]);
+    first["known"]["version"] = json!(0);
+    let _proxy = Proxy::new(&first);
+    assert!(discovery.take().request().line.contains("?from=0&hold_ms="));
+}
+
 #[test]
 fn a_watch_whose_kept_connection_ended_goes_on_at_once() {
-    let r = rig();
+    let mut r = rig();
     let mut watch = r.discovery.take();
     watch.request();
     watch.reply("200 OK", "Connection: close\r\n", &list(42, false, &[]).to_string());
     drop(watch);
-    assert!(r.discovery.take().request().line.contains("from=42"));
+    let mut again = r.discovery.take();
+    assert!(again.request().line.contains("from=42"));
+    // Had it counted as a failure, the log would say so, and the module would have waited.
+    r.proxy.terminate();
+    assert_eq!(r.proxy.logged("draining"), 0);
 }
 
 #[test]
