Count clients against their own part of the descriptors

Found by reading Server::accept: it took a connection only while more than a quarter of all descriptors was free, so attempts counted against clients. With a quarter out at nodes, new clients waited in the backlog though descriptors were free, and what they had sent was as good as lost. Now clients are counted themselves, three of four at most. Also: 405 names the allowed methods, and the guard on unanswered requests has a test. Test: many_attempts_do_not_keep_clients_out fails without it (a health answer never comes).

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -106,7 +106,7 @@
     }
 
     async fn connect(&self) -> Result<SendRequest<Body>, String> {
-        let permit = self.descriptors.take(0).ok_or("no descriptor left")?;
+        let permit = self.descriptors.take().ok_or("no descriptor left")?;
         let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(self.addr)).await;
         let stream =
             connecting.map_err(|_| "no connection in time")?.map_err(|e| format!("no connection: {e}"))?;
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -330,3 +330,17 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Danger: a request that nobody answers is lost once its client stops waiting.
+    #[tokio::test(flavor = "current_thread")]
+    async fn a_request_that_the_module_leaves_unanswered_is_failed() {
+        let (_held, answered) = oneshot::channel();
+        let guard = Duration::from_millis(1);
+        let mut ticket = Ticket { id: 1, answered: Some(answered), guard, engine: Weak::new() };
+        assert!(matches!(ticket.answer().await, Answer::Overdue));
+    }
+}
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -74,8 +74,8 @@
     engine: Rc<Engine>,
     upstreams: Rc<Upstreams>,
     descriptors: Rc<Descriptors>,
-    /// Descriptors that clients leave to nodes and discovery.
-    spared: usize,
+    /// Danger: clients that hold every descriptor could be answered by nobody. Of four they get three.
+    clients_most: usize,
     settings: api::Settings,
     draining: Cell<bool>,
     clients: RefCell<Vec<Rc<Client>>>,
@@ -89,7 +89,7 @@
     let bound = listener.local_addr().map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
     super::log(format_args!("listening on {bound}"));
     let descriptors = Descriptors::new(config.sockets.saturating_sub(OWN_DESCRIPTORS).max(8));
-    let spared = descriptors.free() / 4;
+    let clients_most = descriptors.free() / 4 * 3;
     let settings = config.settings.clone();
     let upstreams = Upstreams::new(descriptors.clone(), config.connect_timeout, settings.conn_idle);
     let (watch, asked) = mpsc::unbounded_channel();
@@ -108,7 +108,7 @@
         engine,
         upstreams,
         descriptors,
-        spared,
+        clients_most,
         settings,
         draining: Cell::new(false),
         clients: RefCell::default(),
@@ -132,10 +132,11 @@
     /// Takes one connection, once there is a descriptor for it.
     async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         let permit = loop {
-            if let Some(permit) = self.descriptors.take(self.spared) {
+            if self.clients.borrow().len() >= self.clients_most {
+                self.yield_client();
+            } else if let Some(permit) = self.descriptors.take() {
                 break permit;
-            }
-            if !self.upstreams.yield_idle() {
+            } else if !self.upstreams.yield_idle() {
                 self.yield_client();
             }
             self.descriptors.freed().await;
@@ -229,7 +230,13 @@
         let may_ask = request.version() == Version::HTTP_11;
         let asked = match self.asked(request).await {
             Ok(asked) => asked,
-            Err((status, why)) => return plain(status, why),
+            Err((status, why)) => {
+                let mut response = plain(status, why);
+                if status == StatusCode::METHOD_NOT_ALLOWED {
+                    response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, PUT"));
+                }
+                return response;
+            }
         };
         let mut ticket: Ticket = self.engine.arrive(asked);
         tokio::select! {
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -26,13 +26,11 @@
         self.free.get()
     }
 
-    /// Takes one, if more than `spared` are free.
-    pub fn take(self: &Rc<Self>, spared: usize) -> Option<Permit> {
-        let free = self.free.get();
-        (free > spared).then(|| {
-            self.free.set(free - 1);
-            Permit(self.clone())
-        })
+    /// Takes one, if any is free.
+    pub fn take(self: &Rc<Self>) -> Option<Permit> {
+        let left = self.free.get().checked_sub(1)?;
+        self.free.set(left);
+        Some(Permit(self.clone()))
     }
 
     /// Waits until one is given back.
@@ -200,7 +198,7 @@
         near.set_send_buffer_size(4096).expect("a small buffer");
         let stream = near.connect(listener.local_addr().expect("an address")).await.expect("connected");
         let (mut far, _) = listener.accept().await.expect("accepted");
-        let socket = Socket::new(stream, Descriptors::new(1).take(0).expect("a descriptor"));
+        let socket = Socket::new(stream, Descriptors::new(1).take().expect("a descriptor"));
         let (mut sender, connection) = http1::handshake(TokioIo::new(Io(socket.clone()))).await.expect("up");
         let request = Request::put("/a").body(Full::new(Bytes::from(vec![b'x'; LENGTH]))).expect("a request");
         let exchange = async { tokio::join!(connection, sender.send_request(request)) };
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -248,7 +248,7 @@
 
     async fn connect(&self, addr: SocketAddr) -> Option<Connection> {
         let permit = loop {
-            match self.descriptors.take(0) {
+            match self.descriptors.take() {
                 Some(permit) => break permit,
                 None if self.yield_idle() => tokio::task::yield_now().await,
                 None => return None,
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -651,3 +651,33 @@
     node.reply("200 OK", "X-Lookup: hit\r\n", "value");
     assert_eq!(waiting.answer().body, b"value");
 }
+
+#[test]
+fn many_attempts_do_not_keep_clients_out() {
+    let (cache, discovery) = (Server::new(), Server::new());
+    let mut small = config(discovery.addr, &[member("c1", cache.addr, "std", "ready")]);
+    // 32 for sockets: of these 24 for clients, but 11 waiting ones take 11 more for their attempts.
+    small["limits"]["sockets"] = json!(56);
+    let proxy = Proxy::new(&small);
+    let mut clients: Vec<Peer> = (0..11).map(|_| proxy.client()).collect();
+    let mut nodes: Vec<Peer> = Vec::new();
+    for client in &mut clients {
+        client.ask("read", "");
+        nodes.push(cache.take());
+    }
+    let mut more: Vec<Peer> = (0..6).map(|_| proxy.client()).collect();
+    for client in &mut more {
+        client.write("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+        assert_eq!(client.answer().status(), 200);
+    }
+    // None of them had to go for another.
+    for client in &mut more {
+        client.write("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+        assert_eq!(client.answer().status(), 200);
+    }
+    for (node, client) in nodes.iter_mut().zip(&mut clients) {
+        node.request();
+        node.reply("200 OK", "X-Lookup: hit\r\n", "");
+        assert_eq!(client.answer().status(), 200);
+    }
+}
