--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -115,8 +115,9 @@
         left: Notify::new(),
     });
     tokio::select! {
-        never = server.accept_all(&listener) => match never {},
+        biased;
         () = stop => {}
+        never = server.accept_all(&listener) => match never {},
     }
     server.drain(listener).await;
     Ok(())
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -200,8 +200,8 @@
         Peer::to(self.addr)
     }
 
-    fn terminate(&self) {
-        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+    fn signal(&self, name: &str) {
+        let done = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(done.expect("kill").success());
     }
 
@@ -517,7 +517,7 @@
     let mut again = r.discovery.take();
     assert!(again.request().line.contains("from=42"));
     // Had it counted as a failure, the log would say so, and the module would have waited.
-    r.proxy.terminate();
+    r.proxy.signal("-TERM");
     assert_eq!(r.proxy.logged("draining"), 0);
 }
 
@@ -544,10 +544,13 @@
     early.ask("read", "");
     let mut node = r.cache.take();
     node.request();
-    r.proxy.terminate();
-    r.proxy.logged("draining");
+    // While it is stopped it takes no connection: this one is taken after the signal, or not at all.
+    r.proxy.signal("-STOP");
     let mut late = r.proxy.client();
     late.ask("read", "");
+    r.proxy.signal("-TERM");
+    r.proxy.signal("-CONT");
+    r.proxy.logged("draining");
     let mut other = r.cache.take();
     other.request();
     // The idle connection has ended, so nothing but the two requests is waited for.
