Follow the discovery that the file names at SIGHUP

Cause: no handler in main.rs, and Discovery::follow knew one address and could not be broken off. At the signal the file is read; its discovery counts for more than the environment's. The standing call is dropped, the whole list asked for at the new address, and asked for again there after 50 ms, doubling to 800 ms, until it has come: the module's backoff may wait longer than the 4 s after which the news counts as told. Nodes, connections and requests are kept. Discovery's descriptors are out of the clients' budget. Tests: a_new_discovery_is_asked_at_once_and_the_old_one_left, a_new_discovery_that_fails_..., and a_file_that_cannot_be_read_changes_nothing; all three failed on the old sources.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+const DISCOVERY: &str = "PROXY_DISCOVERY";
 /// Sockets that a proxy may hold where nothing is said.
 const SOCKETS: usize = 1024;
 
@@ -86,9 +87,18 @@
 impl Config {
     /// Reads the environment and the file that it names. An error names the variable or the field at fault.
     pub fn from_env() -> Result<Self, String> {
+        Self::read(|name| std::env::var(name).ok())
+    }
+
+    /// Reads the file again; what it says of discovery now counts for more than the environment.
+    pub fn again() -> Result<Self, String> {
+        Self::read(|name| std::env::var(name).ok().filter(|_| name != DISCOVERY))
+    }
+
+    fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
         let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG is not set".to_string())?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("PROXY_CONFIG: {path}: {e}"))?;
-        Self::parse(&text, |name| std::env::var(name).ok()).map_err(|e| format!("PROXY_CONFIG: {path}: {e}"))
+        Self::parse(&text, variable).map_err(|e| format!("PROXY_CONFIG: {path}: {e}"))
     }
 
     fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
@@ -98,8 +108,7 @@
             let told = told.ok_or_else(|| format!("{field} is missing, and {name} is not set"))?;
             told.parse::<SocketAddr>().map_err(|_| format!("{name} ({field}) is not an address: {told:?}"))
         };
-        let (listen, discovery) =
-            (address("PROXY_LISTEN", "listen")?, address("PROXY_DISCOVERY", "discovery")?);
+        let (listen, discovery) = (address("PROXY_LISTEN", "listen")?, address(DISCOVERY, "discovery")?);
         let told = root.get("settings").filter(|s| s.is_object()).ok_or("settings is missing")?;
         let mut pairs = Vec::new();
         flatten("", told, &mut pairs);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -18,7 +18,14 @@
 
 /// How long discovery may take beyond the wait that it was asked for.
 const GRACE: Duration = Duration::from_secs(2);
+/// How long it may take for the whole list, for which it waits for nothing.
+const WHOLE: Duration = Duration::from_millis(1200);
 const CONNECT: Duration = Duration::from_secs(1);
+/// The waits between the calls at a new address that has not answered yet double from the first to the last.
+const AGAIN: Duration = Duration::from_millis(50);
+const AGAIN_MOST: Duration = Duration::from_millis(800);
+/// One connection, and old ones that are just ending.
+pub const DESCRIPTORS: usize = 4;
 /// A list is at most this long; a thousand entries take a fifth of it.
 const LIST_MOST: usize = 1 << 20;
 
@@ -27,49 +34,94 @@
     /// Of the list held; none: there is no list yet.
     version: Option<u64>,
     hold: Duration,
+    /// Danger: were these of the clients' budget, a flood of clients would cut the proxy off from the list.
     descriptors: Rc<Descriptors>,
     sender: Option<SendRequest<Body>>,
+    /// At an address that has not answered yet: the wait before the next call.
+    again: Option<Duration>,
 }
 
 impl Discovery {
-    pub fn new(
-        addr: SocketAddr,
-        version: Option<u64>,
-        must_ask_in: Nanos,
-        descriptors: Rc<Descriptors>,
-    ) -> Self {
+    pub fn new(addr: SocketAddr, version: Option<u64>, must_ask_in: Nanos) -> Self {
         // Half the time in which the list must be asked for: a watch that died unseen is replaced before the
         // proxy counts as told what it never heard.
         let hold =
             Duration::from_nanos(must_ask_in / 2).clamp(Duration::from_secs(1), Duration::from_secs(20));
-        Discovery { addr, version, hold, descriptors, sender: None }
+        let descriptors = Descriptors::new(DESCRIPTORS);
+        Discovery { addr, version, hold, descriptors, sender: None, again: None }
     }
 
-    /// Starts a watch each time that the module asks for one, and follows it until it breaks.
-    pub async fn follow(mut self, engine: Rc<Engine>, mut asked: mpsc::UnboundedReceiver<()>) {
-        while asked.recv().await.is_some() {
-            loop {
-                match self.call().await {
-                    Ok(members) => {
-                        self.version = Some(members.version);
-                        let kind = if members.full { ListKind::Full } else { ListKind::Delta };
-                        engine.list(kind, &members.servers);
-                    }
-                    Err(e) => {
-                        super::log(format_args!("discovery at {}: {e}", self.addr));
-                        self.sender = None;
+    /// Starts a watch each time that the module asks for one, and follows it until it breaks. An address that comes
+    /// from `moved` takes the place of the present one.
+    pub async fn follow(
+        mut self,
+        engine: Rc<Engine>,
+        mut asked: mpsc::UnboundedReceiver<()>,
+        mut moved: mpsc::UnboundedReceiver<SocketAddr>,
+    ) {
+        loop {
+            tokio::select! {
+                Some(()) = asked.recv() => {}
+                Some(addr) = moved.recv() => self.move_to(addr),
+                else => return,
+            }
+            self.watch(&engine, &mut asked, &mut moved).await;
+        }
+    }
+
+    async fn watch(
+        &mut self,
+        engine: &Engine,
+        asked: &mut mpsc::UnboundedReceiver<()>,
+        moved: &mut mpsc::UnboundedReceiver<SocketAddr>,
+    ) {
+        loop {
+            // Danger: a standing watch at the old address says nothing for many seconds, and then that it is gone.
+            let called = tokio::select! {
+                biased;
+                Some(addr) = moved.recv() => {
+                    self.move_to(addr);
+                    continue;
+                }
+                called = self.call() => called,
+            };
+            match called {
+                Ok(members) => {
+                    self.version = Some(members.version);
+                    self.again = None;
+                    let kind = if members.full { ListKind::Full } else { ListKind::Delta };
+                    engine.list(kind, &members.servers);
+                }
+                Err(e) => {
+                    super::log(format_args!("discovery at {}: {e}", self.addr));
+                    self.sender = None;
+                    // Danger: the module's waits after a failure are made for a discovery that is down, and are
+                    // longer than the time in which the news of a new one must be known.
+                    let Some(wait) = self.again else {
                         engine.list(ListKind::Failed, &[]);
-                        break;
+                        return;
+                    };
+                    self.again = Some((wait * 2).min(AGAIN_MOST));
+                    tokio::select! {
+                        biased;
+                        Some(addr) = moved.recv() => self.move_to(addr),
+                        () = tokio::time::sleep(wait) => {}
                     }
                 }
-                // Asked for again while it was followed: the next call answers that as well.
-                while asked.try_recv().is_ok() {}
             }
+            // Asked for again while it was followed: the next call answers that as well.
+            while asked.try_recv().is_ok() {}
         }
     }
 
+    /// From here on asks at this address, for the whole list first: its versions may be other ones.
+    fn move_to(&mut self, addr: SocketAddr) {
+        super::log(format_args!("discovery is now at {addr}"));
+        (self.addr, self.version, self.sender, self.again) = (addr, None, None, Some(AGAIN));
+    }
+
     async fn call(&mut self) -> Result<Members, String> {
-        let limit = self.hold + GRACE;
+        let limit = self.version.map_or(WHOLE, |_| self.hold + GRACE);
         let kept = self.sender.is_some();
         match tokio::time::timeout(limit, self.exchange()).await {
             Err(_) => Err("no answer in time".into()),
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,7 +1,7 @@
 //! The listener, clients' connections and requests, their answers, and the drain.
 
 use super::config::Config;
-use super::discovery::Discovery;
+use super::discovery::{self, Discovery};
 use super::engine::{Answer, Asked, Engine, Ticket};
 use super::socket::{Descriptors, Io, Permit, Socket};
 use super::upstream::{Job, Upstreams, TIME_LEFT};
@@ -20,6 +20,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, Notify};
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
@@ -38,8 +39,8 @@
     header::UPGRADE,
     header::EXPECT,
 ];
-/// Descriptors that are no sockets of the budget: standard streams, the listener, the runtime's own.
-const OWN_DESCRIPTORS: usize = 24;
+/// Descriptors that are no sockets of the budget: standard streams, the listener, the runtime's own, discovery's.
+const OWN_DESCRIPTORS: usize = 20 + discovery::DESCRIPTORS;
 /// New connections come for some time after SIGTERM; accepting goes on for at least the first span, until none
 /// has come for the second, and ends after the third.
 const ACCEPT_FOR: Duration = Duration::from_millis(450);
@@ -82,8 +83,8 @@
     left: Notify,
 }
 
-/// Serves until `stop`, then drains.
-pub async fn run(config: Config, stop: impl Future<Output = ()>) -> Result<(), String> {
+/// Serves until `stop`, then drains; follows another discovery when the file names one at a `hangup`.
+pub async fn run(config: Config, stop: impl Future<Output = ()>, mut hangup: Signal) -> Result<(), String> {
     let listen = config.listen;
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
     let bound = listener.local_addr().map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
@@ -94,9 +95,19 @@
     let upstreams = Upstreams::new(descriptors.clone(), config.connect_timeout, settings.conn_idle);
     let (watch, asked) = mpsc::unbounded_channel();
     let (addr, version) = (config.discovery, config.known.as_ref().map(|known| known.version));
-    let discovery = Discovery::new(addr, version, settings.must_ask_in, descriptors.clone());
+    let discovery = Discovery::new(addr, version, settings.must_ask_in);
     let engine = Engine::new(config, upstreams.clone(), watch);
-    tokio::task::spawn_local(discovery.follow(engine.clone(), asked));
+    let (moves, moved) = mpsc::unbounded_channel();
+    tokio::task::spawn_local(discovery.follow(engine.clone(), asked, moved));
+    tokio::task::spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            match Config::again() {
+                // The receiver is gone only when the proxy ends.
+                Ok(config) => drop(moves.send(config.discovery)),
+                Err(e) => super::log(format_args!("the settings stay as they are: {e}")),
+            }
+        }
+    });
     let sweeper = upstreams.clone();
     tokio::task::spawn_local(async move {
         loop {
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -521,6 +521,80 @@
     assert_eq!(r.proxy.logged("draining"), 0);
 }
 
+/// A proxy whose file names another discovery from now on, not told of it yet.
+fn moving(r: &Rig) -> Server {
+    let next = Server::new();
+    let text = config(next.addr, &[]).to_string();
+    std::fs::write(&r.proxy.file, text).expect("written");
+    next
+}
+
+#[test]
+fn a_new_discovery_is_asked_at_once_and_the_old_one_left() {
+    let mut r = rig();
+    let mut client = r.proxy.client();
+    client.ask("read", "");
+    let mut node = r.cache.take();
+    node.request();
+    let mut watch = r.discovery.take();
+    watch.request();
+    let (next, fresh) = (moving(&r), Server::new());
+    r.proxy.signal("-HUP");
+    let mut list_call = next.take();
+    assert_eq!(list_call.request().line, "GET /catalog/members HTTP/1.1");
+    assert_eq!(watch.read(), None);
+    // What it has is kept until the new list has come: the request, its connection, the nodes.
+    node.reply("200 OK", "X-Lookup: hit\r\n", "kept");
+    assert_eq!(client.answer().body, b"kept");
+    assert_eq!(r.proxy.health(), 200);
+    list_call.reply("200 OK", "", &list(7, true, &[member("c9", fresh.addr, "std", "ready")]).to_string());
+    assert!(list_call.request().line.starts_with("GET /catalog/members?from=7&hold_ms="));
+    client.ask("read", "");
+    let mut node = fresh.take();
+    node.request();
+    node.reply("200 OK", "X-Lookup: hit\r\n", "fresh");
+    assert_eq!(client.answer().body, b"fresh");
+    // Another one, and the same twice: each time the whole list is asked for, and in a drain it does no harm.
+    let third = moving(&r);
+    r.proxy.signal("-HUP");
+    third.take().request();
+    r.proxy.signal("-HUP");
+    assert_eq!(third.take().request().line, "GET /catalog/members HTTP/1.1");
+    r.proxy.signal("-TERM");
+    r.proxy.logged("draining");
+    r.proxy.signal("-HUP");
+    drop(client);
+    assert_eq!(r.proxy.child.wait().expect("ended").code(), Some(0));
+    assert!(r.discovery.none_came());
+}
+
+#[test]
+fn a_new_discovery_that_fails_is_asked_again_there_and_not_at_the_old_one() {
+    let r = rig();
+    r.discovery.take().request();
+    let next = moving(&r);
+    r.proxy.signal("-HUP");
+    for _ in 0..4 {
+        let mut call = next.take();
+        assert_eq!(call.request().line, "GET /catalog/members HTTP/1.1");
+        call.reply("503 Service Unavailable", "", "");
+    }
+    assert!(r.discovery.none_came());
+    assert_eq!(r.proxy.health(), 200);
+}
+
+#[test]
+fn a_file_that_cannot_be_read_changes_nothing() {
+    let mut r = rig();
+    let mut watch = r.discovery.take();
+    watch.request();
+    std::fs::write(&r.proxy.file, "{").expect("written");
+    r.proxy.signal("-HUP");
+    assert_eq!(r.proxy.logged("the settings stay as they are"), 0);
+    watch.reply("200 OK", "", &list(42, false, &[]).to_string());
+    assert!(watch.request().line.contains("from=42"));
+}
+
 #[test]
 fn health_waits_for_a_node_that_takes_work() {
     let (cache, discovery) = (Server::new(), Server::new());
