Hold against clients and nodes that misbehave

Causes, each shown by a test that fails on the old sources: - Hyper takes Content-Length away when Transfer-Encoding comes with it (its role.rs, Server::parse), in either order, so server.rs could not see it and passed it on. Now gate.rs reads each head before hyper does and hands hyper one request at a time; a chunked request ends its connection. - Open ids, repeated and malformed ids and deadlines went on from Server::asked. They get 400, an open id 409; a malformed request ends its connection. - Silence, half a head and a trickle had no end. Now 2 s from connecting without a whole head, 1.5 s for a later head or a body, 2 s for an answer that is not taken, 10 s without a request; looked at five times a second. - yield_client went by age alone, so 40 silent connections pushed out one that asks. Now who asked nothing goes first, and nobody whose bytes have come. It also sent a client away at the limit with nobody waiting for its place. - read() and hyper's 400 KB buffer took endless heads, 101 and bodies without a length. Spoilt is now Reset, closed. Also, by reading: our own lack of a descriptor is Moot, not ConnectFailed (unit test); a kept connection is looked at in the kernel when kept and when taken (unit test); buffers are 16 KB, and connections are limited by limits.memory_mb. Checked and not at fault: surplus behind an answer, interim answers and framing of bodies passed on the old sources too; their tests stay as guards.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -10,12 +10,17 @@
 /// Sockets that a proxy may hold where nothing is said.
 const SOCKETS: usize = 1024;
 
+/// Megabytes that it may hold where nothing is said.
+const MEMORY_MB: usize = 64;
+
 /// The configuration of one proxy.
 pub struct Config {
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub seed: u64,
     pub sockets: usize,
+    /// In bytes.
+    pub memory: usize,
     pub connect_timeout: Duration,
     pub settings: Settings,
     pub names: Names,
@@ -135,12 +140,16 @@
             Value::Null => 0,
             other => other.as_u64().ok_or_else(|| format!("seed is not a number: {other}"))?,
         };
-        let sockets = match &root["limits"]["sockets"] {
-            Value::Null => SOCKETS,
-            other => {
-                other.as_u64().ok_or_else(|| format!("limits.sockets is not a number: {other}"))? as usize
-            }
+        let limit = |name: &str, usual: usize| match &root["limits"][name] {
+            Value::Null => Ok(usual),
+            other => other
+                .as_f64()
+                .filter(|n| *n >= 0.0)
+                .map(|n| n as usize)
+                .ok_or_else(|| format!("limits.{name} is not a number: {other}")),
         };
+        let (sockets, memory) =
+            (limit("sockets", SOCKETS)?, limit("memory_mb", MEMORY_MB)?.saturating_mul(1 << 20));
         let connect = &told["caps"]["connect_timeout_ns"];
         let connect = match connect {
             Value::Null => 250_000_000,
@@ -148,7 +157,7 @@
                 .ok_or_else(|| format!("settings.caps.connect_timeout_ns is not a number: {other}"))?,
         };
         let connect_timeout = Duration::from_nanos(connect);
-        Ok(Config { listen, discovery, seed, sockets, connect_timeout, settings, names, known })
+        Ok(Config { listen, discovery, seed, sockets, memory, connect_timeout, settings, names, known })
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod discovery;
 pub mod engine;
+mod gate;
 pub mod server;
 mod socket;
 mod upstream;
@@ -14,6 +15,8 @@
 
 /// Bodies hold at most this.
 const BODY_MOST: usize = 64 << 10;
+/// What is read ahead of a connection, heads among it, holds at most this.
+const BUFFER_MOST: usize = 16 << 10;
 /// A body that is held whole.
 type Body = Full<Bytes>;
 
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -3,9 +3,10 @@
 use super::config::Config;
 use super::discovery::{self, Discovery};
 use super::engine::{Answer, Asked, Engine, Ticket};
-use super::socket::{Descriptors, Io, Permit, Socket};
+use super::gate::{Gate, Seen};
+use super::socket::{Descriptors, Permit, Socket};
 use super::upstream::{Job, Upstreams, TIME_LEFT};
-use super::{Body, BODY_MOST};
+use super::{Body, BODY_MOST, BUFFER_MOST};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -15,8 +16,11 @@
 use hyper_util::rt::TokioIo;
 use ravenlug::api::{self, Effect, Nanos};
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -39,8 +43,21 @@
     header::UPGRADE,
     header::EXPECT,
 ];
+/// An id is at most this long.
+const ID_MOST: usize = 128;
+/// A connection that has asked nothing for so long since it came, whatever part of a head it sent, is closed.
+const ASK_WITHIN: Duration = Duration::from_secs(2);
+/// A head that has begun on a connection used before, or a body, comes whole within this time.
+const COME_WITHIN: Duration = Duration::from_millis(1500);
+/// The kernel takes the rest of an answer within this time.
+const TAKE_WITHIN: Duration = Duration::from_secs(2);
+/// A connection that has been without a request for so long is closed.
+const IDLE_MOST: Duration = Duration::from_secs(10);
+const LOOK_EVERY: Duration = Duration::from_millis(200);
 /// Descriptors that are no sockets of the budget: standard streams, the listener, the runtime's own, discovery's.
 const OWN_DESCRIPTORS: usize = 20 + discovery::DESCRIPTORS;
+/// Memory that is no connection's.
+const OWN_MEMORY: usize = 8 << 20;
 /// New connections come for some time after SIGTERM; accepting goes on for at least the first span, until none
 /// has come for the second, and ends after the third.
 const ACCEPT_FOR: Duration = Duration::from_millis(450);
@@ -51,17 +68,31 @@
 
 /// A client's connection, as others see it.
 struct Client {
+    socket: Rc<Socket>,
+    seen: Rc<Seen>,
     busy: Cell<bool>,
+    came: Instant,
     /// When it came or was last answered.
     since: Cell<Instant>,
     close: Notify,
     closing: Cell<bool>,
+    /// Closing does not wait until an answer has been taken.
+    dropped: Cell<bool>,
 }
 
 impl Client {
-    fn new() -> Rc<Self> {
-        let since = Cell::new(Instant::now());
-        Rc::new(Client { busy: Cell::new(false), since, close: Notify::new(), closing: Cell::new(false) })
+    fn new(stream: TcpStream, permit: Permit) -> Rc<Self> {
+        let came = Instant::now();
+        Rc::new(Client {
+            socket: Socket::new(stream, permit),
+            seen: Rc::default(),
+            busy: Cell::new(false),
+            came,
+            since: Cell::new(came),
+            close: Notify::new(),
+            closing: Cell::new(false),
+            dropped: Cell::new(false),
+        })
     }
 
     /// Lets the connection end after the request that it has, if any.
@@ -69,28 +100,67 @@
         self.closing.set(true);
         self.close.notify_one();
     }
+
+    /// Danger: silence, a head that does not end and an answer that is not read would each hold a descriptor for
+    /// good.
+    fn look(&self, now: Instant) {
+        if self.busy.get() {
+            return;
+        }
+        let over = |from: Instant, most: Duration| now.saturating_duration_since(from) > most;
+        let asked = self.seen.heads.get() > 0;
+        let overdue = if asked {
+            self.seen.head_since.get().is_some_and(|since| over(since, COME_WITHIN))
+                || self.socket.stalled() && over(self.since.get(), TAKE_WITHIN)
+        } else {
+            over(self.came, ASK_WITHIN)
+        };
+        if overdue {
+            self.dropped.set(true);
+            self.end();
+        } else if over(self.since.get(), IDLE_MOST) && self.socket.silent() {
+            self.end();
+        }
+    }
 }
 
 struct Server {
     engine: Rc<Engine>,
     upstreams: Rc<Upstreams>,
     descriptors: Rc<Descriptors>,
-    /// Danger: clients that hold every descriptor could be answered by nobody. Of four they get three.
+    /// Danger: clients that hold every descriptor could be answered by nobody. Of two they get one.
     clients_most: usize,
     settings: api::Settings,
     draining: Cell<bool>,
     clients: RefCell<Vec<Rc<Client>>>,
+    /// The ids of all requests that lack their answer. Their hash is keyed, since clients choose them.
+    ids: RefCell<HashSet<HeaderValue>>,
     left: Notify,
 }
 
+/// A request's id, taken while its answer is due.
+struct OpenId<'a> {
+    server: &'a Server,
+    id: HeaderValue,
+}
+
+impl Drop for OpenId<'_> {
+    fn drop(&mut self) {
+        self.server.ids.borrow_mut().remove(&self.id);
+    }
+}
+
 /// Serves until `stop`, then drains; follows another discovery when the file names one at a `hangup`.
 pub async fn run(config: Config, stop: impl Future<Output = ()>, mut hangup: Signal) -> Result<(), String> {
     let listen = config.listen;
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
     let bound = listener.local_addr().map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
     super::log(format_args!("listening on {bound}"));
-    let descriptors = Descriptors::new(config.sockets.saturating_sub(OWN_DESCRIPTORS).max(8));
-    let clients_most = descriptors.free() / 4 * 3;
+    // Danger: each connection may come to hold a body and what is read ahead of it. So many are taken as there is
+    // room for, even if all of them do.
+    let room = config.memory.saturating_sub(OWN_MEMORY) / (BODY_MOST + 2 * BUFFER_MOST);
+    let descriptors = Descriptors::new(config.sockets.saturating_sub(OWN_DESCRIPTORS).min(room).max(8));
+    let clients_most = descriptors.free() / 2;
     let settings = config.settings.clone();
     let upstreams = Upstreams::new(descriptors.clone(), config.connect_timeout, settings.conn_idle);
     let (watch, asked) = mpsc::unbounded_channel();
@@ -123,8 +193,17 @@
         settings,
         draining: Cell::new(false),
         clients: RefCell::default(),
+        ids: RefCell::default(),
         left: Notify::new(),
     });
+    let watched = server.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            sleep(LOOK_EVERY).await;
+            let now = Instant::now();
+            watched.clients.borrow().iter().for_each(|c| c.look(now));
+        }
+    });
     tokio::select! {
         biased;
         () = stop => {}
@@ -137,12 +216,23 @@
 impl Server {
     async fn accept_all(self: &Rc<Self>, listener: &TcpListener) -> Infallible {
         loop {
-            self.accept(listener).await;
+            let accepted = listener.accept().await;
+            self.accepted(accepted).await;
         }
     }
 
-    /// Takes one connection, once there is a descriptor for it.
-    async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+    /// Takes in a connection, once there is a descriptor for it. The one that it has meanwhile is the server's own.
+    async fn accepted(self: &Rc<Self>, accepted: io::Result<(TcpStream, SocketAddr)>) {
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                // Danger: without descriptors accept fails at once, and again, and again.
+                super::log(format_args!("accept: {e}"));
+                self.upstreams.yield_idle();
+                sleep(Duration::from_millis(10)).await;
+                return;
+            }
+        };
         let permit = loop {
             if self.clients.borrow().len() >= self.clients_most {
                 self.yield_client();
@@ -153,49 +243,49 @@
             }
             self.descriptors.freed().await;
         };
-        match listener.accept().await {
-            Ok((stream, _)) => self.clone().connected(stream, permit),
-            Err(e) => {
-                // Danger: without descriptors accept fails at once, and again, and again.
-                super::log(format_args!("accept: {e}"));
-                self.upstreams.yield_idle();
-                sleep(Duration::from_millis(10)).await;
-            }
-        }
+        self.clone().connected(stream, permit);
     }
 
-    /// Ends the client's connection that has been without a request for longest.
+    /// Ends the client's connection that has been without a request for longest. Danger: a flood of connections
+    /// that say nothing must push out one another, and neither those that ask nor what has just come.
     fn yield_client(&self) {
         let clients = self.clients.borrow();
-        let idle = clients.iter().filter(|c| !c.busy.get() && !c.closing.get());
-        if let Some(client) = idle.min_by_key(|c| c.since.get()) {
+        let mut idle: Vec<_> = clients.iter().filter(|c| !c.busy.get() && !c.closing.get()).collect();
+        let asks = |c: &Client| c.seen.heads.get() > 0 && c.seen.head_since.get().is_none();
+        idle.sort_by_key(|c| (asks(c), c.since.get()));
+        if let Some(client) = idle.iter().find(|c| c.socket.silent()).or(idle.first()) {
             client.end();
         }
     }
 
     fn connected(self: Rc<Self>, stream: TcpStream, permit: Permit) {
-        let client = Client::new();
+        let client = Client::new(stream, permit);
         self.clients.borrow_mut().push(client.clone());
         tokio::task::spawn_local(async move {
-            let socket = Socket::new(stream, permit);
             let service = service_fn(|request| {
                 client.busy.set(true);
-                let (server, socket, client) = (&self, &socket, &client);
+                let fault = client.seen.fault.take();
+                let (server, client) = (&self, &client);
                 async move {
-                    let mut response = server.respond(request, socket).await;
-                    if server.draining.get() || client.closing.get() {
-                        let close = HeaderValue::from_static("close");
-                        response.headers_mut().insert(header::CONNECTION, close);
+                    let mut response = match fault {
+                        Some(why) => bad(StatusCode::BAD_REQUEST, why),
+                        None => server.respond(request, &client.socket).await,
+                    };
+                    if server.draining.get() || client.closing.get() || client.seen.last.get() {
+                        closing(&mut response);
                     }
                     client.busy.set(false);
                     client.since.set(Instant::now());
                     Ok::<_, Infallible>(response)
                 }
             });
-            // Danger: by default hyper drops the request of a client that has ended its sending and still waits.
+            // Danger: by default hyper drops the request of a client that has ended its sending and still waits,
+            // and lets one connection hold some 400 KB.
+            let gate = Gate::new(client.socket.clone(), client.seen.clone());
             let connection = http1::Builder::new()
                 .half_close(true)
-                .serve_connection(TokioIo::new(Io(socket.clone())), service);
+                .max_buf_size(BUFFER_MOST)
+                .serve_connection(TokioIo::new(gate), service);
             let mut connection = std::pin::pin!(connection);
             loop {
                 // What has come in is read before the connection is asked to end.
@@ -204,7 +294,7 @@
                     _ = connection.as_mut() => break,
                     () = client.close.notified() => {
                         // Danger: hyper waits without end for the rest of a head. Nothing is owed for one.
-                        if !client.busy.get() && !socket.stalled() {
+                        if !client.busy.get() && (client.dropped.get() || !client.socket.stalled()) {
                             break;
                         }
                         connection.as_mut().graceful_shutdown();
@@ -222,7 +312,8 @@
         self.draining.set(true);
         let start = Instant::now();
         let mut until = start + ACCEPT_FOR;
-        while timeout_at(until.min(start + ACCEPT_MOST), self.accept(&listener)).await.is_ok() {
+        while let Ok(accepted) = timeout_at(until.min(start + ACCEPT_MOST), listener.accept()).await {
+            self.accepted(accepted).await;
             until = until.max(Instant::now() + QUIET_FOR);
         }
         drop(listener);
@@ -249,13 +340,20 @@
         let asked = match self.asked(request).await {
             Ok(asked) => asked,
             Err((status, why)) => {
-                let mut response = plain(status, why);
+                let mut response = bad(status, why);
                 if status == StatusCode::METHOD_NOT_ALLOWED {
                     response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, PUT"));
                 }
                 return response;
             }
         };
+        // Danger: nodes and the bookkeeping of repeats know a request by its id; a second one that bears it is
+        // somebody else's, and must not disturb the first.
+        let id = asked.job.headers[CORRELATION_ID].clone();
+        if !self.ids.borrow_mut().insert(id.clone()) {
+            return bad(StatusCode::CONFLICT, "a request with this X-Correlation-Id is open");
+        }
+        let _open = OpenId { server: self, id };
         let mut ticket: Ticket = self.engine.arrive(asked);
         tokio::select! {
             biased;
@@ -268,7 +366,7 @@
     /// Reads a request into the module's terms, or says what is wrong with it.
     async fn asked(&self, request: Request<Incoming>) -> Result<Asked, (StatusCode, &'static str)> {
         let (head, body) = request.into_parts();
-        let mut parts = head.uri.path().trim_start_matches('/').split('/');
+        let mut parts = head.uri.path().strip_prefix('/').unwrap_or("").split('/');
         let name = parts.next().unwrap_or("");
         let class = self.engine.names().classes.iter().position(|c| c == name);
         let class = class.ok_or((StatusCode::NOT_FOUND, "no such class"))?;
@@ -278,14 +376,24 @@
             _ => return Err((StatusCode::METHOD_NOT_ALLOWED, "only GET and PUT")),
         };
         let settings = &self.settings.classes[class];
-        let patience = match head.headers.get(TIME_LEFT) {
+        let only = |name: &HeaderName, why| match head.headers.get_all(name).iter().count() {
+            0 => Ok(None),
+            1 => Ok(head.headers.get(name)),
+            _ => Err((StatusCode::BAD_REQUEST, why)),
+        };
+        let patience = match only(&TIME_LEFT, "more than one X-Time-Left")? {
             None => settings.deadline,
-            Some(told) => time_left(told).ok_or((StatusCode::BAD_REQUEST, "bad X-Time-Left"))?,
+            // Danger: what is kept for a request is kept for so long.
+            Some(told) => {
+                time_left(told).ok_or((StatusCode::BAD_REQUEST, "bad X-Time-Left"))?.min(settings.deadline)
+            }
         };
-        if !head.headers.contains_key(CORRELATION_ID) {
-            return Err((StatusCode::BAD_REQUEST, "no X-Correlation-Id"));
+        let id = only(&CORRELATION_ID, "more than one X-Correlation-Id")?;
+        if !id.is_some_and(well_formed) {
+            return Err((StatusCode::BAD_REQUEST, "no X-Correlation-Id, or a bad one"));
         }
-        if write && settings.effect == Effect::Keyed && !head.headers.contains_key(IDEMPOTENCY_KEY) {
+        let key_of_repeats = only(&IDEMPOTENCY_KEY, "more than one Idempotency-Key")?;
+        if write && settings.effect == Effect::Keyed && key_of_repeats.is_none_or(|k| k.is_empty()) {
             return Err((StatusCode::BAD_REQUEST, "no Idempotency-Key"));
         }
         let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB");
@@ -293,7 +401,8 @@
             return Err(too_large);
         }
         // Danger: a client that stalls in the midst of its body would keep its connection, which counts as busy.
-        let read = timeout(Duration::from_nanos(patience), Limited::new(body, BODY_MOST).collect()).await;
+        let within = Duration::from_nanos(patience).min(COME_WITHIN);
+        let read = timeout(within, Limited::new(body, BODY_MOST).collect()).await;
         let read = read.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))?;
         let body = read.map(|b| b.to_bytes()).map_err(|e| match e.is::<LengthLimitError>() {
             true => too_large,
@@ -314,10 +423,17 @@
         let uri = path.parse().map_err(|_| (StatusCode::BAD_REQUEST, "bad path"))?;
         let mut headers = head.headers;
         strip(&mut headers);
+        // The body is passed on with the length that it has.
+        headers.remove(header::CONTENT_LENGTH);
         Ok(Asked { request, job: Job { method: head.method, uri, headers, body } })
     }
 }
 
+/// An id is printable and has no blanks: anything else may be read otherwise by who it is passed on to.
+fn well_formed(id: &HeaderValue) -> bool {
+    (1..=ID_MOST).contains(&id.len()) && id.as_bytes().iter().all(u8::is_ascii_graphic)
+}
+
 /// Seconds with decimals, as nanoseconds.
 fn time_left(told: &HeaderValue) -> Option<Nanos> {
     let text = told.to_str().ok()?.trim();
@@ -351,6 +467,8 @@
         Answer::Served(response) => {
             let (mut head, body) = response.into_parts();
             strip(&mut head.headers);
+            // Danger: hyper believes a length that stands here; the body held has one of its own.
+            head.headers.remove(header::CONTENT_LENGTH);
             head.version = Version::HTTP_11;
             Response::from_parts(head, Body::new(body))
         }
@@ -368,6 +486,18 @@
     }
 }
 
+/// Turns away what is malformed or too large. Danger: a client that sends the like again and again on one connection
+/// costs more than one that has to connect for it; and what follows on it may be the rest of this one.
+fn bad(status: StatusCode, why: &'static str) -> Response<Body> {
+    let mut response = plain(status, why);
+    closing(&mut response);
+    response
+}
+
+fn closing(response: &mut Response<Body>) {
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
+
 fn plain(status: StatusCode, text: &'static str) -> Response<Body> {
     let mut response = Response::new(Body::new(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -4,6 +4,7 @@
 use socket2::SockRef;
 use std::cell::Cell;
 use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -58,6 +59,8 @@
     whole: Cell<bool>,
     /// The kernel took no more bytes, so hyper holds some.
     stalled: Cell<bool>,
+    /// So many more bytes may come.
+    room: Cell<usize>,
     _permit: Permit,
 }
 
@@ -70,12 +73,14 @@
             begun: Cell::new(false),
             whole: Cell::new(false),
             stalled: Cell::new(false),
+            room: Cell::new(usize::MAX),
             _permit: permit,
         })
     }
 
-    /// A new message is about to be written.
-    pub fn begin(&self) {
+    /// A new message is about to be written, and at most `room` bytes may come in answer.
+    pub fn begin(&self, room: usize) {
+        self.room.set(room);
         self.begun.set(false);
         self.whole.set(false);
     }
@@ -90,6 +95,13 @@
         self.stalled.get()
     }
 
+    /// Whether the kernel holds nothing that has come and was not read, not even the peer's end. Danger: the runtime
+    /// learns of new bytes only when it next looks, so this asks the kernel.
+    pub fn silent(&self) -> bool {
+        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Ends both directions now, whoever still holds the stream.
     pub fn close(&self) {
         let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Both);
@@ -115,6 +127,24 @@
 pub struct Io(pub Rc<Socket>);
 
 impl Io {
+    /// Reads into `part`; 0: the peer has ended its sending.
+    pub fn poll_fill(&self, cx: &mut Context<'_>, part: &mut [u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.stream.poll_read_ready(cx))?;
+            match self.0.stream.try_read(part) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(n) if n > self.0.room.get() => {
+                    return Poll::Ready(Err(io::Error::other("the answer does not end")));
+                }
+                Ok(n) => {
+                    self.0.room.set(self.0.room.get() - n);
+                    return Poll::Ready(Ok(n));
+                }
+                failed => return Poll::Ready(failed),
+            }
+        }
+    }
+
     fn poll_send(
         &self,
         cx: &mut Context<'_>,
@@ -138,17 +168,9 @@
 
 impl AsyncRead for Io {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.0.stream.poll_read_ready(cx))?;
-            match self.0.stream.try_read(buf.initialize_unfilled()) {
-                Ok(n) => {
-                    buf.advance(n);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
+        let n = ready!(self.poll_fill(cx, buf.initialize_unfilled()))?;
+        buf.advance(n);
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -193,6 +215,20 @@
     use tokio::io::AsyncReadExt;
     use tokio::net::{TcpListener, TcpSocket};
 
+    /// Danger: a kept connection on which something has come would give it to the next request. Nothing here lets the
+    /// runtime look at its sockets between the writing and the question.
+    #[tokio::test(flavor = "current_thread")]
+    async fn what_has_come_is_seen_before_the_runtime_has_looked() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let stream = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("connected");
+        let (far, _) = listener.accept().await.expect("accepted");
+        far.writable().await.expect("writable");
+        let socket = Socket::new(stream, Descriptors::new(1).take().expect("a descriptor"));
+        assert!(socket.silent());
+        far.try_write(b"surplus").expect("written");
+        assert!(!socket.silent());
+    }
+
     /// Danger: taken for unwritten, a request that ran would be sent again; taken for written, one that never
     /// ran would be failed.
     #[tokio::test(flavor = "current_thread")]
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,11 +1,11 @@
 //! Connections to cache nodes and the origin, and one attempt on one of them with its outcome.
 
 use super::socket::{Descriptors, Io, Socket};
-use super::{Body, BODY_MOST};
+use super::{Body, BODY_MOST, BUFFER_MOST};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::{Bytes, Incoming};
+use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use ravenlug::api::{Entry, Nanos, ServerId, State, Status};
@@ -20,6 +20,9 @@
 
 pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
+/// So many bytes may come in answer to a request: a body, what frames it, and interim answers ahead. Danger: hyper
+/// reads on for as long as interim answers come, and hands none of them over.
+const ANSWER_MOST: usize = 2 * BODY_MOST;
 const LOOKUP: HeaderName = HeaderName::from_static("x-lookup");
 
 /// A client's request as it goes on to any cache node.
@@ -73,6 +76,15 @@
     driver: AbortHandle,
 }
 
+impl Connection {
+    /// Whether nothing has come behind the last answer. Danger: answers carry no id, so that what is left of one
+    /// would pass for the answer to the next request. Hyper ends a connection when it finds such bytes in its own
+    /// buffer, which it does before the answer before them is handed over; the kernel's is looked at here.
+    fn clean(&self) -> bool {
+        !self.sender.is_closed() && self.socket.silent()
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.socket.close();
@@ -186,8 +198,8 @@
             let (mut connection, reused) = match self.newest(server) {
                 Some(connection) => (connection, true),
                 None => match self.connect(addr).await {
-                    Some(connection) => (connection, false),
-                    None => return Status::ConnectFailed.into(),
+                    Ok(connection) => (connection, false),
+                    Err(status) => return status.into(),
                 },
             };
             if connection.sender.ready().await.is_err() {
@@ -201,7 +213,7 @@
             if tether.barred.get() || self.open_to(server).is_none_or(|(_, now)| now != epoch) {
                 return Status::Moot.into();
             }
-            connection.socket.begin();
+            connection.socket.begin(ANSWER_MOST);
             tether.socket.replace(Some(connection.socket.clone()));
             let sent = connection.sender.send_request(request(job, addr, due)).await;
             let Ok(response) = sent else {
@@ -233,7 +245,7 @@
         let mut nodes = self.nodes.borrow_mut();
         let idle = &mut nodes.get_mut(&server)?.idle;
         while let Some(i) = idle.pop() {
-            if i.since.elapsed() < self.idle_most && !i.connection.sender.is_closed() {
+            if i.since.elapsed() < self.idle_most && i.connection.clean() {
                 return Some(i.connection);
             }
         }
@@ -241,25 +253,33 @@
     }
 
     fn keep(&self, server: ServerId, epoch: u64, connection: Connection) {
+        if !connection.clean() {
+            return;
+        }
         if let Some(node) = self.nodes.borrow_mut().get_mut(&server).filter(|n| n.epoch == epoch && n.ready) {
             node.idle.push(Idle { connection, since: Instant::now() });
         }
     }
 
-    async fn connect(&self, addr: SocketAddr) -> Option<Connection> {
+    /// A new connection, or what to tell of its lack.
+    async fn connect(&self, addr: SocketAddr) -> Result<Connection, Status> {
         let permit = loop {
             match self.descriptors.take() {
                 Some(permit) => break permit,
                 None if self.yield_idle() => tokio::task::yield_now().await,
-                None => return None,
+                // Danger: to call this a failed connection would blame the node for our own shortage.
+                None => return Err(Status::Moot),
             }
         };
-        let connecting = TcpStream::connect(addr);
-        let stream = tokio::time::timeout(self.connect_timeout, connecting).await.ok()?.ok()?;
+        let connecting = tokio::time::timeout(self.connect_timeout, TcpStream::connect(addr)).await;
+        let Ok(Ok(stream)) = connecting else { return Err(Status::ConnectFailed) };
         let socket = Socket::new(stream, permit);
-        let (sender, driver) = http1::handshake(TokioIo::new(Io(socket.clone()))).await.ok()?;
+        // Danger: by default hyper reads a head of some 400 KB before it gives up.
+        let shaken =
+            http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(TokioIo::new(Io(socket.clone())));
+        let (sender, driver) = shaken.await.map_err(|_| Status::ConnectFailed)?;
         let driver = tokio::task::spawn_local(driver).abort_handle();
-        Some(Connection { sender, socket, driver })
+        Ok(Connection { sender, socket, driver })
     }
 }
 
@@ -281,15 +301,28 @@
     request
 }
 
+/// Whether an answer's head is one that no node in its right mind sends: a switch of protocols, a length that
+/// contradicts itself or is over the limit, or none, so that a broken body could not be told from a whole one.
+fn spoilt(response: &Response<Incoming>) -> bool {
+    let headers = response.headers();
+    let (told, coded) = (headers.contains_key(CONTENT_LENGTH), headers.contains_key(TRANSFER_ENCODING));
+    response.status().is_informational()
+        || told && coded
+        || response.body().size_hint().lower() > BODY_MOST as u64
+        || !told && !coded && !response.body().is_end_stream()
+}
+
 /// Reads an answer to its end; also tells whether the connection can carry another. Danger: passing on a body
-/// while it still comes would leave the client with half an answer when it breaks.
+/// while it still comes would leave the client with half an answer when it breaks. What can't be read may have run.
 async fn read(response: Response<Incoming>) -> (Ended, bool) {
+    if spoilt(&response) {
+        return (Status::Reset.into(), false);
+    }
     let (head, body) = response.into_parts();
-    let body = match Limited::new(body, BODY_MOST).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => return (Status::Error.into(), false),
-        Err(_) => return (Status::Reset.into(), false),
+    let Ok(body) = Limited::new(body, BODY_MOST).collect().await else {
+        return (Status::Reset.into(), false);
     };
+    let body = body.to_bytes();
     let unprocessed = head.headers.get(&UNPROCESSED).is_some_and(|v| v == "1");
     let status = match head.status {
         StatusCode::OK => Status::Ok,
@@ -301,3 +334,22 @@
     let answer = (status == Status::Ok).then(|| Response::from_parts(head, body));
     (Ended { status, hit, answer }, true)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::net::TcpListener;
+
+    /// Danger: a node that is blamed for the proxy's own shortage is left with all its keys.
+    #[tokio::test(flavor = "current_thread")]
+    async fn a_lack_of_descriptors_is_not_the_nodes_fault() {
+        let node = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let upstreams = Upstreams::new(Descriptors::new(0), Duration::from_secs(30), 0);
+        let entry = Entry { server: 1, ..Entry::default() };
+        upstreams.update(true, &[(entry, node.local_addr().ok())]);
+        let job =
+            Job { method: Method::GET, uri: Uri::default(), headers: HeaderMap::new(), body: Bytes::new() };
+        let ended = upstreams.attempt(1, &job, Duration::from_secs(30), &Tether::default()).await;
+        assert_eq!(ended.status, Status::Moot);
+    }
+}
