--- a/src/logic.rs
+++ b/src/logic.rs
@@ -976,8 +976,8 @@
         let to_origin = self.by_id.get(&o.server).is_some_and(|&i| self.is_origin(&self.servers[i as usize]));
         let (class, fetch) = self.open.get(&o.id).map(|open| (open.class, open.fetch)).unzip();
         let fetch = to_origin || fetch == Some(true);
-        // Danger: clients that wait for less than the aim cut attempts that were not late yet; taken for silence,
-        // these would have servers left that are well.
+        // Danger: clients that wait for less than the aim cut attempts that were not late yet; taken for
+        // silence, these would have servers left that are well.
         let aim = class.and_then(|c| self.settings.classes.get(c)).map_or(0, |c| c.aim);
         let over = self.open.get(&o.id).is_some_and(|open| now.saturating_add(MS) >= open.deadline);
         let cut = over && o.status == Status::Timeout && o.elapsed < aim;
