Keep clients able to connect: idle connections make room early

Checked: the module's trace showed 50 to 70 arrivals a second of some 320 and next to no refusals, so requests never came in; a trace of yield_client showed 180 of 180 places taken, 160 to 176 of them idle, most asked once and kept, and that of 3626 sent away 581 had asked nothing yet, some 25 to 50 ms after they came. Clients may hold a third of the descriptors (128 of 384); our 176 idle ones left them none to ask on. At fault: Server::accept let idle connections grow to all places, and yield_client put newcomers first. Mend: above half of the places each new connection sends the longest idle one away; what came within 0.5 s is spared, unless connections that ask nothing are over a quarter of the places, a flood, which pushes out itself. A connection that is leaving counts as gone, and making room never waits longer than 2 ms for one that turned out to ask.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -47,6 +47,12 @@
 const ID_MOST: usize = 128;
 /// A connection that has asked nothing for so long since it came, whatever part of a head it sent, is closed.
 const ASK_WITHIN: Duration = Duration::from_secs(2);
+/// Within this time a new connection is expected to ask.
+const ASK_SOON: Duration = Duration::from_millis(500);
+/// More than this part of the clients' connections that ask nothing are a flood.
+const SILENT_PART: usize = 4;
+/// A connection that is to make room does so within this time, or another is asked to.
+const YIELD_WITHIN: Duration = Duration::from_millis(2);
 /// A head that has begun on a connection used before, or a body, comes whole within this time.
 const COME_WITHIN: Duration = Duration::from_millis(1500);
 /// The kernel takes the rest of an answer within this time.
@@ -235,29 +241,55 @@
         };
         let permit = loop {
             if self.clients.borrow().len() >= self.clients_most {
-                self.yield_client();
+                if !self.one_leaves() {
+                    self.yield_client(false);
+                }
             } else if let Some(permit) = self.descriptors.take() {
                 break permit;
-            } else if !self.upstreams.yield_idle() {
-                self.yield_client();
+            } else if !self.upstreams.yield_idle() && !self.one_leaves() {
+                self.yield_client(false);
             }
-            self.descriptors.freed().await;
+            // Danger: who was sent away may have asked just then and stays until it has its answer; the next one
+            // must not wait for that.
+            let _ = timeout(YIELD_WITHIN, self.descriptors.freed()).await;
         };
         self.clone().connected(stream, permit);
+        // Danger: clients too have only so many connections; those that they ask once on and keep would leave
+        // them none to ask on.
+        let staying = self.clients.borrow().iter().filter(|c| !c.closing.get()).count();
+        if staying > self.clients_most / 2 {
+            self.yield_client(true);
+        }
     }
 
-    /// Ends the client's connection that has been without a request for longest. Danger: a flood of connections
-    /// that say nothing must push out one another, and neither those that ask nor what has just come.
-    fn yield_client(&self) {
+    /// Ends the client's connection that has been without a request for longest; `spare` leaves what has just come,
+    /// and all while a flood comes.
+    /// Danger: a flood of connections that say nothing must push out one another, and not those that ask; but what
+    /// has just come and is about to ask must not go before those that have their answer.
+    fn yield_client(&self, spare: bool) {
         let clients = self.clients.borrow();
         let mut idle: Vec<_> = clients.iter().filter(|c| !c.busy.get() && !c.closing.get()).collect();
+        let now = Instant::now();
         let asks = |c: &Client| c.seen.heads.get() > 0 && c.seen.head_since.get().is_none();
-        idle.sort_by_key(|c| (asks(c), c.since.get()));
+        let flood = idle.iter().filter(|c| !asks(c)).count() > self.clients_most / SILENT_PART;
+        let about_to_ask = |c: &Client| !asks(c) && !flood && now - c.since.get() < ASK_SOON;
+        if spare && flood {
+            return;
+        }
+        idle.retain(|c| !(spare && about_to_ask(c)));
+        idle.sort_by_key(|c| (about_to_ask(c), asks(c), c.since.get()));
         if let Some(client) = idle.iter().find(|c| c.socket.silent()).or(idle.first()) {
             client.end();
         }
     }
 
+    /// Whether a connection is about to leave its place. Danger: to send another away for each that comes
+    /// before it has left would empty the house of those that ask.
+    fn one_leaves(&self) -> bool {
+        let leaves = |c: &Rc<Client>| c.closing.get() && !c.busy.get() && !c.socket.stalled();
+        self.clients.borrow().iter().any(leaves)
+    }
+
     fn connected(self: Rc<Self>, stream: TcpStream, permit: Permit) {
         let client = Client::new(stream, permit);
         self.clients.borrow_mut().push(client.clone());
