--- /dev/null
+++ b/crates/control-service/src/file.rs
@@ -0,0 +1,80 @@
+//! Follows the list in a file: read again when it changes on disk, and when asked to.
+
+use crate::service::Told;
+use rushquay_nodes::{check_list, Members};
+use std::os::unix::fs::MetadataExt as _;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// Looks after a change at which the file is read again whatever its stamp says. Danger: two writes within one tick
+/// of the file system's clock leave the same stamp.
+const READ_AGAIN: u32 = 3;
+
+/// What tells one state of a file from another; replacing it by a rename gives another inode.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Stamp {
+    inode: u64,
+    length: u64,
+    modified: (i64, i64),
+}
+
+fn stamp(path: &Path) -> Option<Stamp> {
+    let m = std::fs::metadata(path).ok()?;
+    Some(Stamp { inode: m.ino(), length: m.len(), modified: (m.mtime(), m.mtime_nsec()) })
+}
+
+/// Reads the file, strictly.
+pub fn read(path: &Path) -> Result<Members, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    check_list(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// Follows for good; a message on `again` has the file read at once. What can't be read changes nothing.
+pub async fn follow(path: PathBuf, told: mpsc::Sender<Told>, mut again: mpsc::Receiver<()>) {
+    let mut seen = None;
+    let mut looks = READ_AGAIN;
+    let mut last_fault = String::new();
+    let mut last_text = None;
+    loop {
+        let now = stamp(&path);
+        if now != seen {
+            (seen, looks) = (now, READ_AGAIN);
+        }
+        if looks > 0 {
+            looks -= 1;
+            match read(&path) {
+                Ok(list) => {
+                    last_fault.clear();
+                    if last_text.as_ref() != Some(&list) {
+                        last_text = Some(list.clone());
+                        if told.send(Told::List(list)).await.is_err() {
+                            return;
+                        }
+                    }
+                }
+                // Half-written files pass; each fault is told once.
+                Err(fault) if looks == 0 && fault != last_fault => {
+                    last_fault.clone_from(&fault);
+                    // A file that is mended to what it was before has to be told as well.
+                    last_text = None;
+                    if told.send(Told::Lost(fault)).await.is_err() {
+                        return;
+                    }
+                }
+                Err(_) => {}
+            }
+        }
+        tokio::select! {
+            () = tokio::time::sleep(LOOK_EVERY) => {}
+            asked = again.recv() => {
+                if asked.is_none() {
+                    tokio::time::sleep(LOOK_EVERY).await;
+                }
+                (looks, last_text) = (READ_AGAIN, None);
+                last_fault.clear();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control-service/src/service.rs
@@ -0,0 +1,283 @@
+//! Starts the service and holds its parts together: the list comes in, the state decides, the hub hands out.
+
+use crate::settings::{Settings, SourceOption};
+use crate::{admin, discovery, file, log};
+use rushquay_control::{Change, Control, NodeView, Origin, Taken};
+use rushquay_nodes::Members;
+use rushquay_resources::{declare, declare_changed, Shape};
+use rushquay_xds::Store;
+use rushquay_xds_grpc::{require_tls_beyond_loopback, serve, Hub, Tls, TlsError};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+
+const TICK: Duration = Duration::from_secs(1);
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Where subscribers connect.
+    pub listen: SocketAddr,
+    /// Where the node list comes from.
+    pub source: SourceOption,
+    /// Where the admin page is.
+    pub admin: Option<SocketAddr>,
+    /// All else.
+    pub settings: Settings,
+}
+
+/// Why the service can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// TLS, or the lack of it.
+    #[error(transparent)]
+    Tls(#[from] TlsError),
+    /// An address that can't be listened on.
+    #[error("--{option} {addr}: {source}; give an address of this machine with a free port, or port 0")]
+    Listen {
+        /// Which option.
+        option: &'static str,
+        /// Which address.
+        addr: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A node list that can't be used at the start.
+    #[error("--nodes: {0}")]
+    Nodes(String),
+}
+
+/// News of the list.
+#[derive(Debug)]
+pub enum Told {
+    /// The whole, or what changed.
+    List(Members),
+    /// The source can't be reached or read.
+    Lost(String),
+}
+
+/// How the source stands, for the admin page.
+#[derive(Clone, Debug, Default)]
+pub struct SourceState {
+    /// Why it can't be reached; `None`: it can.
+    pub fault: Option<String>,
+    /// Lists taken.
+    pub lists: u64,
+    /// Lists that weren't obeyed.
+    pub refused: u64,
+}
+
+/// What the admin page shows beside the hub.
+pub struct Shared {
+    /// The subscribers' side.
+    pub hub: Arc<Hub>,
+    /// What is decided.
+    pub control: Mutex<Control>,
+    /// The source.
+    pub source: Mutex<SourceState>,
+    /// What it is.
+    pub source_name: String,
+}
+
+impl Shared {
+    pub(crate) fn nodes(&self) -> Vec<NodeView> {
+        self.control.lock().unwrap_or_else(PoisonError::into_inner).nodes()
+    }
+
+    fn take(&self, told: Told) {
+        let mut source = self.source.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut control = self.control.lock().unwrap_or_else(PoisonError::into_inner);
+        let list = match told {
+            Told::Lost(fault) => {
+                if source.fault.as_ref() != Some(&fault) {
+                    log(format!("{fault}; the list stays as it is"));
+                }
+                source.fault = Some(fault);
+                control.source(true);
+                return;
+            }
+            Told::List(list) => list,
+        };
+        source.fault = None;
+        source.lists += 1;
+        let now = self.hub.now();
+        match control.list(&list, now) {
+            Taken::EmptyRefused => {
+                source.refused += 1;
+                log(format!("a list without any node (version {}) is not obeyed", list.version));
+            }
+            Taken::First => {
+                let shape = shape(&control);
+                let clusters = control.clusters();
+                self.hub.change(|store, now| {
+                    declare(store, &shape, clusters, now);
+                    store.open();
+                });
+            }
+            Taken::Changed(change) => self.declare(&control, &change),
+        }
+    }
+
+    fn tick(&self) {
+        let mut control = self.control.lock().unwrap_or_else(PoisonError::into_inner);
+        let change = control.tick(self.hub.now());
+        self.declare(&control, &change);
+    }
+
+    fn declare(&self, control: &Control, change: &Change) {
+        if change.is_empty() {
+            return;
+        }
+        self.hub.change(|store, now| {
+            for (i, (cluster, nodes)) in control.names().into_iter().zip(control.clusters()).enumerate() {
+                if !change.changed[i].is_empty() || !change.gone[i].is_empty() {
+                    declare_changed(store, cluster, nodes, &change.changed[i], &change.gone[i], now);
+                }
+            }
+        });
+    }
+}
+
+fn shape(control: &Control) -> Shape {
+    let [cluster, origin] = control.names();
+    Shape { cluster: cluster.to_owned(), origin: origin.to_owned() }
+}
+
+/// A running service. Dropping it ends it.
+pub struct ControlService {
+    /// Where subscribers connect.
+    pub xds: SocketAddr,
+    /// Where the admin page is.
+    pub admin: Option<SocketAddr>,
+    shared: Arc<Shared>,
+    again: mpsc::Sender<()>,
+    stop: watch::Sender<bool>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl ControlService {
+    /// Reads the node file again.
+    pub fn reread(&self) {
+        let _ = self.again.try_send(());
+    }
+
+    /// The subscribers' side, for tests and measurements.
+    pub fn hub(&self) -> &Arc<Hub> {
+        &self.shared.hub
+    }
+
+    /// Takes a list as if the source had told it, for tests and measurements: the moment is then known.
+    pub fn tell(&self, list: Members) {
+        self.shared.take(Told::List(list));
+    }
+
+    /// Ends the service: no new streams, and those that are open are cut.
+    pub async fn stop(mut self) {
+        let _ = self.stop.send(true);
+        for task in std::mem::take(&mut self.tasks) {
+            task.abort();
+            let _ = task.await;
+        }
+    }
+}
+
+impl Drop for ControlService {
+    fn drop(&mut self) {
+        let _ = self.stop.send(true);
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// A number from 0 up to 1, for waits alone.
+pub(crate) fn chance() -> f64 {
+    use std::hash::{BuildHasher, Hasher};
+    let random = std::collections::hash_map::RandomState::new().build_hasher().finish();
+    (random >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// Names this process and no other. Danger: subscribers tell an old process from a new one by it.
+fn incarnation() -> String {
+    static STARTED: AtomicU64 = AtomicU64::new(0);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let number = STARTED.fetch_add(1, Ordering::Relaxed);
+    format!("rushquay-{:x}-{:x}-{number}", now.as_nanos(), std::process::id())
+}
+
+/// Starts the service on the runtime that this is called on.
+///
+/// # Errors
+/// See [`StartError`]; nothing is left running.
+pub async fn start(options: Options) -> Result<ControlService, StartError> {
+    let tls = options.settings.tls.as_ref().map(Tls::read).transpose()?;
+    require_tls_beyond_loopback("--listen", options.listen, tls.is_some())?;
+    if let Some(admin) = options.admin {
+        // The admin page speaks plain HTTP.
+        require_tls_beyond_loopback("--admin", admin, false)?;
+    }
+    let first = match &options.source {
+        SourceOption::Nodes(path) => Some(file::read(path).map_err(StartError::Nodes)?),
+        SourceOption::Discovery(_) => None,
+    };
+    let listen = async |option, addr: SocketAddr| {
+        let listener = TcpListener::bind(addr).await;
+        let bound = listener.and_then(|l| l.local_addr().map(|a| (l, a)));
+        bound.map_err(|source| StartError::Listen { option, addr, source })
+    };
+    let (xds_listener, xds) = listen("listen", options.listen).await?;
+    let admin_listener = match options.admin {
+        Some(addr) => Some(listen("admin", addr).await?),
+        None => None,
+    };
+
+    let origin = match options.source {
+        SourceOption::Discovery(_) => Origin::Discovery,
+        SourceOption::Nodes(_) => Origin::File,
+    };
+    let store = Store::new(&incarnation(), options.settings.control.removals);
+    let hub = Hub::new(store, options.settings.limits(), log);
+    let control = Control::new(options.settings.control.clone(), origin);
+    let source_name = match &options.source {
+        SourceOption::Discovery(addr) => format!("discovery {addr}"),
+        SourceOption::Nodes(path) => format!("file {}", path.display()),
+    };
+    let (control, source) = (Mutex::new(control), Mutex::default());
+    let shared = Arc::new(Shared { hub: hub.clone(), control, source, source_name });
+    if let Some(list) = first {
+        shared.take(Told::List(list));
+    }
+
+    let (told, mut news) = mpsc::channel(16);
+    let (again, asked) = mpsc::channel(1);
+    let (stop, stopped) = watch::channel(false);
+    let mut tasks = Vec::new();
+    tasks.push(match options.source {
+        SourceOption::Discovery(addr) => tokio::spawn(discovery::follow(addr, told)),
+        SourceOption::Nodes(path) => tokio::spawn(file::follow(path, told, asked)),
+    });
+    let taking = shared.clone();
+    tasks.push(tokio::spawn(async move {
+        let mut tick = tokio::time::interval(TICK);
+        loop {
+            tokio::select! {
+                Some(told) = news.recv() => taking.take(told),
+                _ = tick.tick() => taking.tick(),
+            }
+        }
+    }));
+    let mut ending = stopped.clone();
+    tasks.push(tokio::spawn(async move {
+        let stop = async move { drop(ending.wait_for(|stop| *stop).await) };
+        if let Err(e) = serve(xds_listener, hub, tls.as_ref(), stop).await {
+            log(format!("xDS ends: {e}"));
+        }
+    }));
+    let admin = admin_listener.as_ref().map(|(_, addr)| *addr);
+    if let Some((listener, _)) = admin_listener {
+        tasks.push(tokio::spawn(admin::serve(listener, shared.clone())));
+    }
+    Ok(ControlService { xds, admin, shared, again, stop, tasks })
+}
--- /dev/null
+++ b/crates/control/src/state.rs
@@ -0,0 +1,232 @@
+//! The declared state: from the node list to clusters of nodes.
+
+use crate::ControlConfig;
+use rushquay_nodes::{Changes, Member, Members, Merge, MergeLimits, Nanos, NodeState, Source, Stated};
+use std::collections::BTreeMap;
+
+/// Where the list comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// Discovery: its versions mean the same to everybody who follows it.
+    Discovery,
+    /// A file, whose versions are its own.
+    File,
+}
+
+/// What has to be declared anew.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Change {
+    /// By cluster (cache nodes, origin): what is new or changed.
+    pub changed: [Vec<Stated>; 2],
+    /// What is gone, as it was.
+    pub gone: [Vec<Stated>; 2],
+}
+
+impl Change {
+    /// Whether there is nothing.
+    pub fn is_empty(&self) -> bool {
+        self.changed.iter().chain(&self.gone).all(Vec::is_empty)
+    }
+}
+
+/// What came of a list.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Taken {
+    /// The first list: all has to be declared, and can be handed out from now on.
+    First,
+    /// What changed, perhaps nothing.
+    Changed(Change),
+    /// A whole list without a node, where there were some. It isn't obeyed.
+    EmptyRefused,
+}
+
+/// A node for the admin page.
+#[derive(Clone, Debug)]
+pub struct NodeView {
+    /// The cluster that it stands in.
+    pub cluster: String,
+    /// The node, with the weight handed out.
+    pub stated: Stated,
+    /// When its state or start last changed here; on the caller's clock.
+    pub since: Nanos,
+}
+
+/// The control service's state.
+pub struct Control {
+    config: ControlConfig,
+    origin: Origin,
+    merge: Merge,
+    clusters: [BTreeMap<String, Stated>; 2],
+    since: BTreeMap<String, Nanos>,
+    version: Option<u64>,
+}
+
+impl Control {
+    /// Knows nothing yet, and declares nothing until the first list has come.
+    pub fn new(config: ControlConfig, origin: Origin) -> Self {
+        let hold = config.hold_s.saturating_mul(1_000_000_000);
+        let merge = Merge::new(MergeLimits { hold, remembered: config.removals });
+        Control { config, origin, merge, clusters: Default::default(), since: BTreeMap::new(), version: None }
+    }
+
+    /// The settings.
+    pub fn config(&self) -> &ControlConfig {
+        &self.config
+    }
+
+    /// Version of the list last taken.
+    pub fn version(&self) -> Option<u64> {
+        self.version
+    }
+
+    /// The nodes by cluster: cache nodes, origin.
+    pub fn clusters(&self) -> [&BTreeMap<String, Stated>; 2] {
+        [&self.clusters[0], &self.clusters[1]]
+    }
+
+    /// The names of the clusters in the same order.
+    pub fn names(&self) -> [&str; 2] {
+        [&self.config.cluster, &self.config.origin_cluster]
+    }
+
+    /// All nodes for the admin page.
+    pub fn nodes(&self) -> Vec<NodeView> {
+        let view = |(cluster, nodes): (&str, &BTreeMap<String, Stated>)| {
+            let since = |s: &Stated| self.since.get(&s.member.id).copied().unwrap_or(0);
+            let view = |s: &Stated| NodeView { cluster: cluster.into(), stated: s.clone(), since: since(s) };
+            nodes.values().map(view).collect::<Vec<_>>()
+        };
+        self.names().into_iter().zip(self.clusters()).flat_map(view).collect()
+    }
+
+    /// Takes a list, the whole or what changed.
+    pub fn list(&mut self, list: &Members, now: Nanos) -> Taken {
+        let live = |m: &&Member| m.state != NodeState::Gone;
+        let nodes_before = self.clusters.iter().map(BTreeMap::len).sum::<usize>();
+        // Danger: a discovery that has just started may answer before it knows anything, and would take every node
+        // from every proxy with one word.
+        if list.full && nodes_before > 0 && list.servers.iter().filter(live).count() == 0 {
+            return Taken::EmptyRefused;
+        }
+        let first = self.version.is_none();
+        if first && !list.full {
+            // What changed says nothing without the whole.
+            return Taken::Changed(Change::default());
+        }
+        let changes = self.merge.list(Source::Discovery, list, now);
+        self.version = Some(list.version);
+        let change = self.apply(changes, list.version, now);
+        match first {
+            true => Taken::First,
+            false => Taken::Changed(change),
+        }
+    }
+
+    /// The source can't be reached, or can be again.
+    pub fn source(&mut self, lost: bool) {
+        if lost {
+            self.merge.lost(Source::Discovery);
+        }
+    }
+
+    /// Lets what has been held for long enough go.
+    pub fn tick(&mut self, now: Nanos) -> Change {
+        let changes = self.merge.tick(now);
+        let version = self.version.unwrap_or(0);
+        self.apply(changes, version, now)
+    }
+
+    fn apply(&mut self, changes: Changes, version: u64, now: Nanos) -> Change {
+        let mut change = Change::default();
+        for gone in changes.gone {
+            for (nodes, gone_here) in self.clusters.iter_mut().zip(&mut change.gone) {
+                gone_here.extend(nodes.remove(&gone.id));
+            }
+            self.since.remove(&gone.id);
+        }
+        for member in changes.upserts {
+            let factor = self.config.weights.get(&member.kind).copied().unwrap_or(1.0);
+            // Danger: a weight that is no number, or none at all, would make every sum over the cluster one.
+            let weight =
+                if member.weight.is_finite() { (member.weight * factor).clamp(1e-6, 1e6) } else { factor };
+            let at = usize::from(member.kind == self.config.origin_kind);
+            let stated = Stated {
+                member: Member { weight, ..member },
+                listed: version,
+                shared: self.origin == Origin::Discovery,
+            };
+            let id = stated.member.id.clone();
+            let moved = self.clusters[1 - at].remove(&id);
+            change.gone[1 - at].extend(moved);
+            let state = |s: &Stated| (s.member.state, s.member.started);
+            let before = self.clusters[at].insert(id.clone(), stated.clone());
+            if before.as_ref().map(state) != Some(state(&stated)) {
+                self.since.insert(id, now);
+            }
+            // A node that moved to another zone stands there under another name.
+            change.gone[at].extend(before.filter(|b| b.member.zone != stated.member.zone));
+            change.changed[at].push(stated);
+        }
+        change
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn list(version: u64, full: bool, nodes: &str) -> Members {
+        let text = format!(r#"{{"version":{version},"full":{full},"servers":[{nodes}]}}"#);
+        serde_json::from_str(&text).expect("a list")
+    }
+
+    fn node(id: &str, state: &str, more: &str) -> String {
+        format!(r#"{{"id":"{id}","addr":"127.0.0.1:1","zone":"z","kind":"k","state":"{state}"{more}}}"#)
+    }
+
+    fn control() -> Control {
+        let weights = [("slow".to_owned(), 0.5)].into();
+        Control::new(ControlConfig { weights, ..ControlConfig::default() }, Origin::Discovery)
+    }
+
+    #[test]
+    fn nothing_is_declared_before_the_first_whole_list() {
+        let mut c = control();
+        assert_eq!(c.list(&list(4, false, &node("a", "gone", "")), 0), Taken::Changed(Change::default()));
+        assert_eq!(c.version(), None);
+        assert_eq!(c.list(&list(5, true, &node("a", "ready", "")), 0), Taken::First);
+    }
+
+    #[test]
+    fn an_empty_list_does_not_take_every_node_away() {
+        let mut c = control();
+        c.list(&list(5, true, &node("a", "ready", "")), 0);
+        assert_eq!(c.list(&list(6, true, ""), 1), Taken::EmptyRefused);
+        assert_eq!(c.clusters()[0].len(), 1);
+    }
+
+    #[test]
+    fn an_old_list_does_not_undo_a_drain() {
+        let mut c = control();
+        c.list(&list(5, true, &node("a", "ready", "")), 0);
+        c.list(&list(6, false, &node("a", "draining", "")), 1);
+        c.list(&list(3, true, &node("a", "ready", "")), 2);
+        assert_eq!(c.clusters()[0]["a"].member.state, NodeState::Draining);
+        c.list(&list(7, true, &node("a", "ready", "")), 3);
+        assert_eq!(c.clusters()[0]["a"].member.state, NodeState::Ready);
+    }
+
+    #[test]
+    fn the_origin_is_a_cluster_of_its_own_and_kinds_have_their_weights() {
+        let mut c = control();
+        let slow = r#"{"id":"s","addr":"127.0.0.1:1","kind":"slow","state":"ready","weight":2}"#;
+        let origin = r#"{"id":"o","addr":"127.0.0.1:1","kind":"origin","state":"ready"}"#;
+        c.list(&list(5, true, &format!("{slow},{origin}")), 0);
+        assert_eq!(c.clusters()[0]["s"].member.weight, 1.0);
+        assert_eq!(c.clusters()[1].keys().collect::<Vec<_>>(), ["o"]);
+        // One that turns out to be of another kind leaves the cluster that it stood in.
+        let now = slow.replace("slow", "origin");
+        let Taken::Changed(change) = c.list(&list(6, false, &now), 1) else { panic!("not the first") };
+        assert_eq!((change.gone[0].len(), change.changed[1].len(), c.clusters()[0].len()), (1, 1, 0));
+    }
+}
--- /dev/null
+++ b/crates/nodes/src/lib.rs
@@ -0,0 +1,18 @@
+//! The list of cache nodes: its form on the wire ([`Members`]), its strict check ([`check_list`]), the versions a watch
+//! goes through ([`Cursor`]), and which of several sources wins ([`Merge`]).
+//!
+//! Pure: no I/O, and time comes in as an argument.
+#![forbid(unsafe_code)]
+
+mod check;
+mod cursor;
+mod member;
+mod merge;
+
+pub use check::{check_list, ListFault};
+pub use cursor::Cursor;
+pub use member::{Member, Members, NodeState};
+pub use merge::{Changes, Merge, MergeLimits, News, Source, Stated, View};
+
+/// A point in time or a span, in nanoseconds.
+pub type Nanos = u64;
--- /dev/null
+++ b/crates/nodes/tests/merge.rs
@@ -0,0 +1,258 @@
+//! Which of several sources wins, node by node, through restarts, old lists and losses.
+
+use proptest::prelude::*;
+use rushquay_nodes::*;
+
+const SECOND: Nanos = 1_000_000_000;
+
+fn node(id: &str, state: NodeState, started: Nanos) -> Member {
+    Member {
+        id: id.into(),
+        addr: Some("127.0.0.1:80".parse().expect("an address")),
+        zone: "rajkot".into(),
+        kind: "std-1c".into(),
+        cell: 0,
+        state,
+        weight: 1.0,
+        started,
+    }
+}
+
+fn list(version: u64, full: bool, servers: &[Member]) -> Members {
+    Members { version, full, servers: servers.to_vec() }
+}
+
+fn stated(member: Member, listed: u64) -> Stated {
+    Stated { member, listed, shared: true }
+}
+
+fn state(m: &Merge, id: &str) -> Option<NodeState> {
+    m.nodes().find(|v| v.member.id == id).map(|v| v.member.state)
+}
+
+use NodeState::{Draining, Gone, Ready};
+
+fn merge() -> Merge {
+    Merge::new(MergeLimits { hold: 60 * SECOND, remembered: 8 })
+}
+
+/// Both sources name `a`, ready; the control service as process `c1`, from discovery's list 40.
+fn both() -> Merge {
+    let mut m = merge();
+    m.list(Source::Discovery, &list(40, true, &[node("a", Ready, 7)]), 0);
+    m.control("c1", News::Changed(vec![stated(node("a", Ready, 7), 40)], vec![]), 0);
+    m
+}
+
+#[test]
+fn the_more_restrictive_of_two_sources_wins_whichever_says_it() {
+    for (by_control, by_discovery) in [(Draining, Ready), (Ready, Draining), (Gone, Ready), (Ready, Gone)] {
+        let mut m = both();
+        m.list(Source::Discovery, &list(41, false, &[node("a", by_discovery, 7)]), 1);
+        m.control("c1", News::Changed(vec![stated(node("a", by_control, 7), 41)], vec![]), 1);
+        let worst = by_control.max(by_discovery);
+        assert_eq!(state(&m, "a"), Some(worst).filter(|s| *s != Gone), "{by_control:?} {by_discovery:?}");
+    }
+}
+
+#[test]
+fn a_node_is_sent_to_only_while_a_list_names_it() {
+    let mut m = both();
+    assert!(
+        m.control("c1", News::Changed(vec![stated(node("b", Ready, 1), 41)], vec![]), 1).upserts.len() == 1
+    );
+    assert_eq!(state(&m, "b"), Some(Ready), "the control service's list is one");
+    let changes = m.control("c1", News::Changed(vec![], vec!["b".into()]), 2);
+    assert_eq!((changes.gone.len(), state(&m, "b")), (1, None));
+    // Discovery's list is late and names it still, with the start that the removal was about.
+    m.list(Source::Discovery, &list(42, false, &[node("b", Ready, 1)]), 3);
+    assert_eq!(state(&m, "b"), None);
+    // It comes back as a new process.
+    m.list(Source::Discovery, &list(43, false, &[node("b", Ready, 9)]), 4);
+    assert_eq!(state(&m, "b"), Some(Ready));
+}
+
+#[test]
+fn what_was_said_of_an_older_start_says_nothing_of_a_newer_one() {
+    let mut m = both();
+    m.control("c1", News::Changed(vec![stated(node("a", Draining, 7), 41)], vec![]), 1);
+    m.list(Source::Discovery, &list(42, false, &[node("a", Ready, 8)]), 2);
+    assert_eq!(state(&m, "a"), Some(Ready));
+    // And the old one said again changes nothing.
+    m.control("c1", News::Changed(vec![stated(node("a", Draining, 7), 41)], vec![]), 3);
+    assert_eq!(state(&m, "a"), Some(Ready));
+}
+
+#[test]
+fn a_restarted_control_service_with_an_old_list_does_not_undo_a_drain() {
+    let mut m = both();
+    m.control("c1", News::Changed(vec![stated(node("a", Draining, 7), 43)], vec![]), 1);
+    m.lost(Source::Control);
+    // Empty after its restart, it follows a discovery that still gives list 41; this process's own does the same.
+    m.control("c2", News::Changed(vec![stated(node("a", Ready, 7), 41)], vec![]), 2);
+    assert_eq!(state(&m, "a"), Some(Draining));
+    m.confirm();
+    m.control("c2", News::Changed(vec![stated(node("a", Ready, 7), 41)], vec![]), 3);
+    assert_eq!(state(&m, "a"), Some(Draining), "saying it again on the same stream makes it no truer");
+    // A list from after the drain is believed.
+    m.control("c2", News::Changed(vec![stated(node("a", Ready, 7), 44)], vec![]), 4);
+    assert_eq!(state(&m, "a"), Some(Ready));
+}
+
+#[test]
+fn a_second_restart_with_versions_starting_over_does_not_undo_it_either_until_the_hold_is_over() {
+    let mut m = both();
+    m.control("c1", News::Changed(vec![stated(node("a", Draining, 7), 43)], vec![]), SECOND);
+    for process in ["c2", "c3"] {
+        m.control(process, News::Changed(vec![stated(node("a", Ready, 7), 1)], vec![]), 2 * SECOND);
+        assert_eq!(state(&m, "a"), Some(Draining));
+    }
+    assert!(m.tick(60 * SECOND).is_empty());
+    assert_eq!(m.tick(61 * SECOND).upserts.len(), 1);
+    assert_eq!(state(&m, "a"), Some(Ready));
+}
+
+#[test]
+fn the_process_that_drained_may_take_it_back() {
+    let mut m = both();
+    m.control("c1", News::Changed(vec![stated(node("a", Draining, 7), 0)], vec![]), 1);
+    m.lost(Source::Control);
+    m.control("c1", News::Changed(vec![stated(node("a", Ready, 7), 0)], vec![]), 2);
+    assert_eq!(state(&m, "a"), Some(Ready));
+}
+
+#[test]
+fn an_old_control_service_does_not_take_nodes_that_are_newer_than_it() {
+    let mut m = both();
+    m.list(Source::Discovery, &list(45, false, &[node("new", Ready, 9)]), 1);
+    m.control("c1", News::Changed(vec![stated(node("new", Ready, 9), 45)], vec![]), 1);
+    // The other one has stood still since list 30.
+    m.control("old", News::Changed(vec![], vec!["new".into()]), 2);
+    assert_eq!(state(&m, "new"), Some(Ready));
+    // The one that goes on speaking is believed.
+    m.control("c1", News::Changed(vec![stated(node("new", Ready, 9), 45)], vec![]), 3);
+    m.control("c1", News::Changed(vec![], vec!["new".into()]), 4);
+    assert_eq!(state(&m, "new"), None);
+}
+
+#[test]
+fn a_drain_that_another_process_no_longer_names_is_kept_while_discovery_names_the_node() {
+    let mut m = both();
+    m.control("c1", News::Changed(vec![stated(node("a", Draining, 7), 43)], vec![]), 1);
+    m.control("c2", News::Changed(vec![], vec!["a".into()]), 2);
+    assert_eq!(state(&m, "a"), Some(Draining));
+}
+
+#[test]
+fn what_a_new_process_left_standing_is_its_word_too() {
+    let mut m = both();
+    m.control("c2", News::Changed(vec![], vec![]), 1);
+    m.confirm();
+    m.control("c2", News::Changed(vec![], vec!["a".into()]), 2);
+    assert_eq!(state(&m, "a"), None, "it removed what it had confirmed");
+}
+
+#[test]
+fn a_lost_control_service_changes_nothing_and_newer_words_replace_its_own() {
+    let mut m = both();
+    m.control(
+        "c1",
+        News::Changed(vec![stated(node("a", Draining, 7), 43), stated(node("b", Ready, 1), 43)], vec![]),
+        1,
+    );
+    let before: Vec<Member> = m.nodes().map(|v| v.member.clone()).collect();
+    assert!(m.control("c1", News::Lost, 2).is_empty());
+    assert_eq!(m.nodes().map(|v| v.member.clone()).collect::<Vec<_>>(), before, "no flap");
+    m.list(Source::Discovery, &list(42, false, &[node("a", Ready, 7)]), 3);
+    assert_eq!(state(&m, "a"), Some(Draining), "older than the drain");
+    m.list(Source::Discovery, &list(44, false, &[node("a", Ready, 7)]), 4);
+    assert_eq!(state(&m, "a"), Some(Ready), "the drain was taken back, and nobody else is left to say so");
+}
+
+#[test]
+fn what_the_configuration_knew_counts_until_discovery_has_spoken() {
+    let mut m = merge();
+    m.list(Source::Known, &list(3, true, &[node("a", Ready, 0), node("b", Ready, 0)]), 0);
+    assert_eq!(m.nodes().count(), 2);
+    m.list(Source::Discovery, &list(9, true, &[node("a", Ready, 0)]), 1);
+    assert_eq!((state(&m, "a"), state(&m, "b")), (Some(Ready), None));
+}
+
+#[test]
+fn addresses_are_this_proxys_own_and_weights_the_control_services() {
+    let mut m = both();
+    let far = Member {
+        addr: Some("127.9.9.9:1".parse().expect("an address")),
+        weight: 0.25,
+        ..node("a", Ready, 7)
+    };
+    m.control("c1", News::Changed(vec![stated(far, 41)], vec![]), 1);
+    let a = m.nodes().next().expect("a node").member.clone();
+    assert_eq!((a.addr, a.weight), (node("a", Ready, 7).addr, 0.25));
+}
+
+#[test]
+fn what_is_remembered_of_nodes_that_went_is_bounded() {
+    let mut m = merge();
+    for i in 0..1000u64 {
+        let id = format!("n{i}");
+        m.control("c1", News::Changed(vec![stated(node(&id, Ready, 1), i + 1)], vec![]), i);
+        m.control("c1", News::Changed(vec![], vec![id]), i);
+    }
+    // The oldest are forgotten: discovery may name them again.
+    m.list(Source::Discovery, &list(1, true, &[node("n0", Ready, 1), node("n999", Ready, 1)]), 2000);
+    assert_eq!((state(&m, "n0"), state(&m, "n999")), (Some(Ready), None));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Discovery(u64, bool, Vec<(u8, u8, u8)>),
+    Control(u8, Vec<(u8, u8, u8)>, Vec<u8>),
+    Lost,
+    Tick,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let nodes = || prop::collection::vec((0u8..4, 0u8..3, 0u8..3), 0..4);
+    prop_oneof![
+        (1u64..50, any::<bool>(), nodes()).prop_map(|(v, f, n)| Step::Discovery(v, f, n)),
+        (0u8..3, nodes(), prop::collection::vec(0u8..4, 0..2)).prop_map(|(c, n, r)| Step::Control(c, n, r)),
+        Just(Step::Lost),
+        Just(Step::Tick),
+    ]
+}
+
+proptest! {
+    /// The changes told add up to the merged list, and nothing is in it that no source has named.
+    #[test]
+    fn the_changes_add_up(steps in prop::collection::vec(step(), 1..60)) {
+        let members = |nodes: Vec<(u8, u8, u8)>| nodes.into_iter().map(|(id, state, started)| {
+            node(&id.to_string(), [Ready, Draining, Gone][state as usize], u64::from(started))
+        });
+        let (mut m, mut told, mut named) = (merge(), std::collections::BTreeMap::new(), std::collections::BTreeSet::new());
+        for (i, step) in steps.into_iter().enumerate() {
+            let now = i as Nanos * 5 * SECOND;
+            let changes = match step {
+                Step::Discovery(version, full, nodes) => {
+                    let servers: Vec<Member> = members(nodes).collect();
+                    named.extend(servers.iter().map(|m| m.id.clone()));
+                    m.list(Source::Discovery, &Members { version, full, servers }, now)
+                }
+                Step::Control(process, nodes, gone) => {
+                    let all: Vec<Stated> = members(nodes).map(|m| stated(m, i as u64)).collect();
+                    named.extend(all.iter().map(|s| s.member.id.clone()));
+                    let gone = gone.iter().map(u8::to_string).collect();
+                    m.control(&process.to_string(), News::Changed(all, gone), now)
+                }
+                Step::Lost => { m.lost(Source::Control); Changes::default() }
+                Step::Tick => m.tick(now),
+            };
+            for gone in changes.gone { told.remove(&gone.id); }
+            for new in changes.upserts { told.insert(new.id.clone(), new); }
+            let merged: std::collections::BTreeMap<String, Member> =
+                m.nodes().map(|v| (v.member.id.clone(), v.member.clone())).collect();
+            prop_assert_eq!(&told, &merged);
+            prop_assert!(merged.iter().all(|(id, m)| named.contains(id) && m.state != Gone));
+        }
+    }
+}
--- /dev/null
+++ b/crates/resources/src/follow.rs
@@ -0,0 +1,173 @@
+//! The proxy's reading of a control service: which resources it asks for, and what they say of the nodes.
+
+use crate::decode::{decode, Item};
+use crate::names::assignment_name;
+use rushquay_nodes::{News, Stated};
+use rushquay_xds::client::{Ask, Backoff, Client, Ended, Retry, ServerAnswer, Session, Taken, Update};
+use rushquay_xds::server::Variant;
+use rushquay_xds::{Kind, Nanos, Pattern};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// What to follow.
+#[derive(Clone, Debug)]
+pub struct FollowConfig {
+    /// How many addresses there are.
+    pub addresses: usize,
+    /// The clusters whose endpoints are the node list.
+    pub clusters: Vec<String>,
+    /// Ask for LEDS collections where the stream is a delta one.
+    pub collections: bool,
+    /// Waits between attempts to connect, in nanoseconds: the first, and the longest.
+    pub backoff: (Nanos, Nanos),
+    /// Most endpoints.
+    pub most: usize,
+}
+
+/// Follows the clusters over one stream after another.
+pub struct Follow {
+    config: FollowConfig,
+    client: Client,
+    /// By name of the assignment: endpoints inline, by id, and the collections named.
+    assignments: HashMap<String, (BTreeMap<String, Stated>, Vec<String>)>,
+    /// Endpoints of collections by resource name.
+    endpoints: HashMap<String, Stated>,
+    /// Clusters that the server has only in the plain form.
+    plain: BTreeSet<String>,
+    /// What was last said, by id.
+    said: BTreeMap<String, Stated>,
+    /// The stream has had its say: an answer with endpoints has come.
+    settled: bool,
+}
+
+impl Follow {
+    /// Nothing is held yet.
+    pub fn new(config: FollowConfig) -> Self {
+        let backoff = Backoff::new(config.backoff.0, config.backoff.1);
+        let client = Client::new(config.addresses, backoff, config.most);
+        let (assignments, endpoints) = Default::default();
+        let (plain, said) = Default::default();
+        Follow { config, client, assignments, endpoints, plain, said, settled: false }
+    }
+
+    /// Whether the stream has told of endpoints since it was opened.
+    pub fn settled(&self) -> bool {
+        self.settled
+    }
+
+    fn assignments_wanted(&self) -> BTreeSet<String> {
+        let delta = self.client.variant() == Variant::Delta && self.config.collections;
+        let wanted = self.config.clusters.iter().map(|c| match delta && !self.plain.contains(c) {
+            true => assignment_name(c),
+            false => c.clone(),
+        });
+        wanted.collect()
+    }
+
+    /// Which of the two forms of a cluster counts: the one wanted now, once it has come; the other stands until then.
+    fn prune(&mut self) {
+        let wanted = self.assignments_wanted();
+        for cluster in &self.config.clusters {
+            let forms = [cluster.clone(), assignment_name(cluster)];
+            if forms.iter().any(|f| wanted.contains(f) && self.assignments.contains_key(f)) {
+                forms.iter().filter(|f| !wanted.contains(*f)).for_each(|f| drop(self.assignments.remove(f)));
+            }
+        }
+    }
+
+    fn take(&mut self, update: Update<Item>) {
+        for name in update.removed {
+            match update.kind {
+                Kind::Endpoint => drop(self.endpoints.remove(&name)),
+                _ => {
+                    self.assignments.remove(&name);
+                    // Another server than this project's has no such form.
+                    let only_plain = self.config.clusters.iter().find(|c| assignment_name(c) == name);
+                    self.plain.extend(only_plain.cloned());
+                }
+            }
+        }
+        for (name, item) in update.upserts {
+            match item {
+                Item::Endpoint(stated) => {
+                    self.endpoints.insert(name, stated);
+                }
+                Item::Assignment { endpoints, collections } => {
+                    self.settled |= !endpoints.is_empty();
+                    let endpoints = endpoints.into_iter().map(|s| (s.member.id.clone(), s)).collect();
+                    self.assignments.insert(name, (endpoints, collections));
+                }
+            }
+        }
+    }
+
+    /// What differs from what was last said; `None`: nothing.
+    fn compare(&mut self) -> Option<News> {
+        let mut now: BTreeMap<String, Stated> = BTreeMap::new();
+        let inline = self.assignments.values().flat_map(|(endpoints, _)| endpoints.values());
+        for stated in self.endpoints.values().chain(inline) {
+            // A node that moved stands under two names until the old one is removed: its newer entry counts, and of
+            // equals the more restrictive.
+            let newer = |old: &Stated| {
+                let rank = |s: &Stated| (s.member.started, s.listed, s.member.state);
+                rank(stated) >= rank(old)
+            };
+            if now.get(&stated.member.id).is_none_or(newer) {
+                now.insert(stated.member.id.clone(), stated.clone());
+            }
+        }
+        let changed: Vec<Stated> =
+            now.values().filter(|s| self.said.get(&s.member.id) != Some(s)).cloned().collect();
+        let gone: Vec<String> = self.said.keys().filter(|id| !now.contains_key(*id)).cloned().collect();
+        self.said = now;
+        (!changed.is_empty() || !gone.is_empty()).then_some(News::Changed(changed, gone))
+    }
+}
+
+impl Session for Follow {
+    type News = (String, News);
+
+    fn address(&self) -> usize {
+        self.client.address()
+    }
+
+    fn variant(&self) -> Variant {
+        self.client.variant()
+    }
+
+    fn connected(&mut self) -> Vec<Ask> {
+        self.settled = false;
+        self.plain.clear();
+        // What is wanted is set before anything is sent, in the form that this stream can carry.
+        let _ = self.client.want(Kind::Endpoints, self.assignments_wanted());
+        if self.variant() == Variant::Sotw {
+            let _ = self.client.want(Kind::Endpoint, BTreeSet::new());
+        }
+        self.client.connected()
+    }
+
+    fn answer(&mut self, answer: ServerAnswer) -> Taken<Self::News> {
+        let reply = self.client.answer(answer, |kind, came| decode(kind, came).map_err(|e| e.to_string()));
+        let mut taken = Taken { asks: reply.ask.into_iter().collect(), news: None, refused: reply.refused };
+        let Some(update) = reply.update else { return taken };
+        let process = update.control_plane.clone();
+        self.settled |= update.kind == Kind::Endpoint;
+        self.take(update);
+        self.prune();
+        // What the assignments name now.
+        let (ask, _) = self.client.want(Kind::Endpoints, self.assignments_wanted());
+        taken.asks.extend(ask);
+        let collections: BTreeSet<String> =
+            self.assignments.values().flat_map(|(_, c)| c.iter().cloned()).collect();
+        let patterns: Vec<Pattern> = collections.iter().map(|c| Pattern::parse(c)).collect();
+        self.endpoints.retain(|name, _| patterns.iter().any(|p| p.matches(name)));
+        if self.variant() == Variant::Delta {
+            taken.asks.extend(self.client.want(Kind::Endpoint, collections).0);
+        }
+        taken.news = self.compare().map(|news| (process, news));
+        taken
+    }
+
+    fn ended(&mut self, how: Ended, random: f64) -> Retry {
+        self.client.ended(how, random)
+    }
+}
--- /dev/null
+++ b/crates/xds-grpc/src/hub.rs
@@ -0,0 +1,194 @@
+//! What all streams of a server share: the store, the news that it changed, and who subscribes.
+
+use rushquay_xds::server::{Limits, Standing, Stream, Variant};
+use rushquay_xds::{Kind, Nanos, Store};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, RwLock, RwLockReadGuard};
+use std::time::Instant;
+use tokio::sync::watch;
+
+/// Bounds of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// Most streams at once.
+    pub streams: usize,
+    /// A message from a subscriber is at most this long, in bytes.
+    pub message: usize,
+    /// Bounds of one stream.
+    pub stream: Limits,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        ServerLimits { streams: 8192, message: 1 << 20, stream: Limits::default() }
+    }
+}
+
+/// A subscriber as others see it.
+#[derive(Clone, Debug)]
+pub struct Subscriber {
+    /// The id of its node, as it says.
+    pub node: String,
+    /// Where it connects from.
+    pub peer: Option<SocketAddr>,
+    /// The variant that it speaks.
+    pub variant: Variant,
+    /// What it has taken, by kind.
+    pub standing: Vec<(Kind, Standing)>,
+    /// For how long it has lacked something, in nanoseconds; 0: it has all.
+    pub lag: Nanos,
+}
+
+/// A stream's place among the subscribers, given back when it ends.
+pub(crate) struct Place {
+    hub: Arc<Hub>,
+    number: u64,
+    pub stream: Arc<Mutex<Stream>>,
+}
+
+struct Entry {
+    node: String,
+    peer: Option<SocketAddr>,
+    variant: Variant,
+    stream: Arc<Mutex<Stream>>,
+}
+
+/// Counters since the start.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Answers sent.
+    pub answers: AtomicU64,
+    /// Bytes of resource bodies in them.
+    pub bytes: AtomicU64,
+    /// Answers acknowledged.
+    pub acks: AtomicU64,
+    /// Answers refused.
+    pub nacks: AtomicU64,
+    /// Streams opened.
+    pub opened: AtomicU64,
+    /// Streams ended for a peer's fault.
+    pub faults: AtomicU64,
+}
+
+/// What all streams share.
+pub struct Hub {
+    store: RwLock<Store>,
+    changed: watch::Sender<u64>,
+    entries: Mutex<BTreeMap<u64, Entry>>,
+    next: AtomicU64,
+    /// Bounds.
+    pub limits: ServerLimits,
+    /// Counters.
+    pub counters: Counters,
+    /// Where rare lines go.
+    pub(crate) log: fn(String),
+    start: Instant,
+}
+
+impl Hub {
+    /// Hands out what stands in the store; rare lines go to `log`.
+    pub fn new(store: Store, limits: ServerLimits, log: fn(String)) -> Arc<Self> {
+        Arc::new(Hub {
+            store: RwLock::new(store),
+            changed: watch::Sender::new(0),
+            entries: Mutex::default(),
+            next: AtomicU64::new(0),
+            limits,
+            counters: Counters::default(),
+            log,
+            start: Instant::now(),
+        })
+    }
+
+    /// Time since the start, in nanoseconds; the store's times are on this clock.
+    pub fn now(&self) -> Nanos {
+        self.start.elapsed().as_nanos() as Nanos
+    }
+
+    /// Changes the store and tells the streams.
+    pub fn change<T>(&self, change: impl FnOnce(&mut Store, Nanos) -> T) -> T {
+        let now = self.now();
+        let mut store = self.store.write().unwrap_or_else(PoisonError::into_inner);
+        let done = change(&mut store, now);
+        let seq = store.seq();
+        drop(store);
+        self.changed.send_modify(|seen| *seen = seq);
+        done
+    }
+
+    /// The store as it is.
+    pub fn store(&self) -> RwLockReadGuard<'_, Store> {
+        self.store.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn watch(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// All subscribers.
+    pub fn subscribers(&self) -> Vec<Subscriber> {
+        let now = self.now();
+        let store = self.store();
+        let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        let view = |e: &Entry| {
+            let stream = e.stream.lock().unwrap_or_else(PoisonError::into_inner);
+            let standing =
+                Kind::ORDER.map(|k| (k, stream.standing(k))).into_iter().filter(|(_, s)| s.subscribed);
+            Subscriber {
+                node: e.node.clone(),
+                peer: e.peer,
+                variant: e.variant,
+                standing: standing.collect(),
+                lag: stream.lag(&store, now),
+            }
+        };
+        entries.values().map(view).collect()
+    }
+
+    /// How many streams are open.
+    pub fn open_streams(&self) -> usize {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner).len()
+    }
+
+    /// Takes a stream in; `None` when there are too many.
+    pub(crate) fn enter(
+        self: &Arc<Self>,
+        variant: Variant,
+        only: Option<Kind>,
+        peer: Option<SocketAddr>,
+    ) -> Option<Place> {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let stream = Arc::new(Mutex::new(Stream::new(variant, only, self.limits.stream)));
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        if entries.len() >= self.limits.streams {
+            return None;
+        }
+        entries.insert(number, Entry { node: String::new(), peer, variant, stream: stream.clone() });
+        self.counters.opened.fetch_add(1, Ordering::Relaxed);
+        Some(Place { hub: self.clone(), number, stream })
+    }
+}
+
+impl Place {
+    /// The subscriber has said who it is.
+    pub fn name(&self, node: &str) {
+        let mut entries = self.hub.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(entry) = entries.get_mut(&self.number) {
+            entry.node = node.chars().filter(|c| !c.is_control()).take(200).collect();
+        }
+    }
+
+    /// Who it is.
+    pub fn node(&self) -> String {
+        let entries = self.hub.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        entries.get(&self.number).map(|e| e.node.clone()).unwrap_or_default()
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.hub.entries.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.number);
+    }
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,134 @@
+//! The command line.
+
+mod check;
+
+use clap::{Parser, Subcommand};
+use ravenlug::net;
+use rushquay_control_service::{read_settings, start, Options, Settings, SourceOption};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+
+/// A proxy for a fleet of cache nodes, and the control service that hands such proxies their nodes.
+#[derive(Parser)]
+#[command(name = "rushquay", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// One proxy, as the PROXY_* variables say; the same as no command at all.
+    Proxy {
+        /// Subscribe to a control service as this file (TOML) says.
+        #[arg(long, value_name = "FILE")]
+        control: Option<PathBuf>,
+    },
+    /// The control service: follows the node list and hands it out as xDS.
+    Control {
+        /// Where subscribers connect (xDS over gRPC); port 0 takes a free one.
+        #[arg(long, value_name = "ADDR")]
+        listen: SocketAddr,
+        /// Follow the list at discovery.
+        #[arg(long, value_name = "ADDR", required_unless_present = "nodes", conflicts_with = "nodes")]
+        discovery: Option<SocketAddr>,
+        /// Follow the list in a file, in discovery's JSON form; read again when it changes and on SIGHUP.
+        #[arg(long, value_name = "FILE")]
+        nodes: Option<PathBuf>,
+        /// Name of the cluster of cache nodes [default: cache-nodes, or what the settings say].
+        #[arg(long, value_name = "NAME")]
+        cluster: Option<String>,
+        /// Where the admin page is: /status, /metrics, /healthz.
+        #[arg(long, value_name = "ADDR")]
+        admin: Option<SocketAddr>,
+        /// Further settings (TOML): weights, TLS, limits.
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+    },
+    /// Checks a node list, a proxy's configuration, or settings of either command; names what is wrong.
+    Check {
+        /// The file: .json or .toml.
+        file: PathBuf,
+    },
+}
+
+/// Does what the command line says.
+pub fn run() -> Result<(), String> {
+    match Cli::parse().command {
+        Command::Proxy { control } => proxy(control),
+        Command::Control { listen, discovery, nodes, cluster, admin, config } => {
+            let mut settings = config.as_deref().map(read_settings).transpose().map_err(|e| e.to_string())?;
+            let settings: &mut Settings = settings.get_or_insert_default();
+            if let Some(cluster) = cluster {
+                settings.control.cluster = cluster;
+            }
+            settings.control.check().map_err(|e| format!("--cluster: {e}"))?;
+            let source = match (discovery, nodes) {
+                (Some(addr), _) => SourceOption::Discovery(addr),
+                (None, Some(path)) => SourceOption::Nodes(path),
+                (None, None) => return Err("--discovery or --nodes is needed".into()),
+            };
+            control(Options { listen, source, admin, settings: settings.clone() })
+        }
+        Command::Check { file } => {
+            println!("{}", check::check(&file)?);
+            Ok(())
+        }
+    }
+}
+
+/// SIGTERM or SIGINT.
+fn ending() -> Result<impl Future<Output = ()>, String> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
+    Ok(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    })
+}
+
+fn hangup() -> Result<Signal, String> {
+    signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))
+}
+
+/// One proxy, on one thread. It rereads its file on SIGHUP and ends on SIGTERM or SIGINT.
+pub fn proxy(control: Option<PathBuf>) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("the runtime: {e}"))?;
+    let run = async {
+        // Danger: until it is handled this signal ends the process.
+        let hangup = hangup()?;
+        let mut config = net::config::Config::from_env()?;
+        if let Some(path) = control {
+            config.control =
+                Some(net::control::ControlSource::read(&path).map_err(|e| format!("--control: {e}"))?);
+        }
+        net::server::run(config, ending()?, hangup, |_| {}).await
+    };
+    tokio::task::LocalSet::new().block_on(&runtime, run)
+}
+
+/// The control service, on a few threads.
+fn control(options: Options) -> Result<(), String> {
+    let threads = std::thread::available_parallelism().map_or(2, |n| n.get().clamp(2, 8));
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(threads).enable_all().build();
+    runtime.map_err(|e| format!("the runtime: {e}"))?.block_on(async {
+        let mut hangup = hangup()?;
+        let mut ending = std::pin::pin!(ending()?);
+        let service = start(options).await.map_err(|e| e.to_string())?;
+        let admin = service.admin.map_or_else(|| "none".to_owned(), |a| a.to_string());
+        println!("listening xds={} admin={admin}", service.xds);
+        loop {
+            tokio::select! {
+                () = ending.as_mut() => break,
+                Some(()) = hangup.recv() => service.reread(),
+            }
+        }
+        service.stop().await;
+        Ok(())
+    })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod api;
 pub mod logic;
+pub mod net;
 pub mod wire;
 
 pub use logic::Balancer;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,12 +1,16 @@
 //! What the platform tells a proxy: the `PROXY_*` variables and the JSON file that they name.
 
-use ravenlug::api::{server_id, Entry, Nanos, Settings, State};
+use super::control::ControlSource;
+use crate::api::{server_id, Entry, Settings, State};
+use rushquay_nodes::{Member, Members, NodeState};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 const DISCOVERY: &str = "PROXY_DISCOVERY";
+/// Names the file that switches the subscription to a control service on.
+pub const CONTROL: &str = "PROXY_CONTROL";
 /// Sockets that a proxy may hold where nothing is said.
 const SOCKETS: usize = 1024;
 
@@ -15,77 +19,61 @@
 
 /// The configuration of one proxy.
 pub struct Config {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where clients connect.
     pub listen: SocketAddr,
+    /// Discovery's address.
     pub discovery: SocketAddr,
+    /// For random numbers, new with each start.
     pub seed: u64,
+    /// Descriptors that it may hold.
     pub sockets: usize,
     /// In bytes.
     pub memory: usize,
+    /// How long a connection to a node may take to come up.
     pub connect_timeout: Duration,
+    /// What the module is told.
     pub settings: Settings,
+    /// The names of what it knows by number.
     pub names: Names,
+    /// The node list as it was last had; may be old.
     pub known: Option<Members>,
+    /// A control service to subscribe to; `None`: the proxy follows its own discovery alone.
+    pub control: Option<ControlSource>,
 }
 
 /// The names that stand on the sockets for what the module knows by number.
 #[derive(Default)]
 pub struct Names {
+    /// Of classes.
     pub classes: Vec<String>,
+    /// Of tenants.
     pub tenants: Vec<String>,
     zones: Vec<String>,
     kinds: Vec<String>,
 }
 
-/// A list of cache nodes in discovery's form.
-#[derive(Deserialize)]
-pub struct Members {
-    pub version: u64,
-    pub full: bool,
-    pub servers: Vec<Member>,
-}
-
-/// A cache node in discovery's form.
-#[derive(Deserialize)]
-pub struct Member {
-    id: String,
-    #[serde(default)]
-    addr: String,
-    #[serde(default)]
-    zone: Value,
-    #[serde(default)]
-    kind: Value,
-    #[serde(default)]
-    cell: Option<u32>,
-    state: String,
-    #[serde(default)]
-    weight: Option<f64>,
-    #[serde(default)]
-    started_ms: Option<f64>,
-}
-
 impl Names {
     /// The module's form of a cache node, and where to connect.
     pub fn entry(&self, m: &Member) -> (Entry, Option<SocketAddr>) {
         // A name that the settings do not list is none of those that they do.
-        let index = |names: &[String], v: &Value| {
-            let known = v.as_str().and_then(|name| names.iter().position(|n| n == name));
-            known.unwrap_or(names.len()) as u32
-        };
+        let index =
+            |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len()) as u32;
         let entry = Entry {
             server: server_id(&m.id),
             zone: index(&self.zones, &m.zone),
             kind: index(&self.kinds, &m.kind),
-            cell: m.cell.unwrap_or(0),
-            state: match m.state.as_str() {
-                "ready" => State::Ready,
-                "gone" => State::Gone,
-                // A state that is new here gets nothing new.
-                _ => State::Draining,
+            cell: m.cell,
+            state: match m.state {
+                NodeState::Ready => State::Ready,
+                NodeState::Draining => State::Draining,
+                NodeState::Gone => State::Gone,
             },
-            weight: m.weight.unwrap_or(1.0),
-            started: (m.started_ms.unwrap_or(0.0) * 1e6) as Nanos,
+            weight: m.weight,
+            started: m.started,
         };
-        (entry, m.addr.parse().ok())
+        (entry, m.addr)
     }
 }
 
@@ -106,7 +94,8 @@
         Self::parse(&text, variable).map_err(|e| format!("PROXY_CONFIG: {path}: {e}"))
     }
 
-    fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+    /// Reads the file's text; `variable` gives what the environment says.
+    pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
         let root: Value = serde_json::from_str(text).map_err(|e| format!("not JSON: {e}"))?;
         let address = |name: &str, field: &str| {
             let told = variable(name).or_else(|| root[field].as_str().map(str::to_owned));
@@ -117,8 +106,8 @@
         let told = root.get("settings").filter(|s| s.is_object()).ok_or("settings is missing")?;
         let mut pairs = Vec::new();
         flatten("", told, &mut pairs);
-        let settings = ravenlug::wire::settings(pairs.iter().map(String::as_str))
-            .map_err(|e| format!("settings: {e}"))?;
+        let settings =
+            crate::wire::settings(pairs.iter().map(String::as_str)).map_err(|e| format!("settings: {e}"))?;
         let names = Names {
             classes: names(told, "categories")?,
             tenants: names(told, "customers")?,
@@ -157,7 +146,28 @@
                 .ok_or_else(|| format!("settings.caps.connect_timeout_ns is not a number: {other}"))?,
         };
         let connect_timeout = Duration::from_nanos(connect);
-        Ok(Config { listen, discovery, seed, sockets, memory, connect_timeout, settings, names, known })
+        let name =
+            variable("PROXY_NAME").or_else(|| root["name"].as_str().map(str::to_owned)).unwrap_or_default();
+        let control = match (variable(CONTROL), root.get("control").filter(|c| !c.is_null())) {
+            (Some(path), _) => {
+                Some(ControlSource::read(path.as_ref()).map_err(|e| format!("{CONTROL}: {e}"))?)
+            }
+            (None, Some(told)) => Some(ControlSource::from_json(told).map_err(|e| format!("control.{e}"))?),
+            (None, None) => None,
+        };
+        Ok(Config {
+            name,
+            control,
+            listen,
+            discovery,
+            seed,
+            sockets,
+            memory,
+            connect_timeout,
+            settings,
+            names,
+            known,
+        })
     }
 }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,15 +1,15 @@
 //! Follows the list of cache nodes: a watch at discovery, renewed at once after each answer.
 
-use super::config::Members;
-use super::engine::Engine;
+use super::nodes::NodeList;
 use super::socket::{Descriptors, Io, Socket};
 use super::Body;
+use crate::api::Nanos;
 use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use ravenlug::api::{ListKind, Nanos};
+use rushquay_nodes::{Cursor, Members};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,8 +31,8 @@
 
 pub struct Discovery {
     addr: SocketAddr,
-    /// Of the list held; none: there is no list yet.
-    version: Option<u64>,
+    /// What to ask for next.
+    cursor: Cursor,
     hold: Duration,
     /// Danger: were these of the clients' budget, a flood of clients would cut the proxy off from the list.
     descriptors: Rc<Descriptors>,
@@ -48,14 +48,14 @@
         let hold =
             Duration::from_nanos(must_ask_in / 2).clamp(Duration::from_secs(1), Duration::from_secs(20));
         let descriptors = Descriptors::new(DESCRIPTORS);
-        Discovery { addr, version, hold, descriptors, sender: None, again: None }
+        Discovery { addr, cursor: Cursor::at(version), hold, descriptors, sender: None, again: None }
     }
 
     /// Starts a watch each time that the module asks for one, and follows it until it breaks. An address that comes
     /// from `moved` takes the place of the present one.
     pub async fn follow(
         mut self,
-        engine: Rc<Engine>,
+        nodes: Rc<NodeList>,
         mut asked: mpsc::UnboundedReceiver<()>,
         mut moved: mpsc::UnboundedReceiver<SocketAddr>,
     ) {
@@ -65,13 +65,13 @@
                 Some(addr) = moved.recv() => self.move_to(addr),
                 else => return,
             }
-            self.watch(&engine, &mut asked, &mut moved).await;
+            self.watch(&nodes, &mut asked, &mut moved).await;
         }
     }
 
     async fn watch(
         &mut self,
-        engine: &Engine,
+        nodes: &NodeList,
         asked: &mut mpsc::UnboundedReceiver<()>,
         moved: &mut mpsc::UnboundedReceiver<SocketAddr>,
     ) {
@@ -87,10 +87,9 @@
             };
             match called {
                 Ok(members) => {
-                    self.version = Some(members.version);
+                    self.cursor.saw(&members);
                     self.again = None;
-                    let kind = if members.full { ListKind::Full } else { ListKind::Delta };
-                    engine.list(kind, &members.servers);
+                    nodes.discovered(&members);
                 }
                 Err(e) => {
                     super::log(format_args!("discovery at {}: {e}", self.addr));
@@ -98,7 +97,7 @@
                     // Danger: the module's waits after a failure are made for a discovery that is down, and are
                     // longer than the time in which the news of a new one must be known.
                     let Some(wait) = self.again else {
-                        engine.list(ListKind::Failed, &[]);
+                        nodes.failed();
                         return;
                     };
                     self.again = Some((wait * 2).min(AGAIN_MOST));
@@ -117,11 +116,12 @@
     /// From here on asks at this address, for the whole list first: its versions may be other ones.
     fn move_to(&mut self, addr: SocketAddr) {
         super::log(format_args!("discovery is now at {addr}"));
-        (self.addr, self.version, self.sender, self.again) = (addr, None, None, Some(AGAIN));
+        (self.addr, self.sender, self.again) = (addr, None, Some(AGAIN));
+        self.cursor.reset();
     }
 
     async fn call(&mut self) -> Result<Members, String> {
-        let limit = self.version.map_or(WHOLE, |_| self.hold + GRACE);
+        let limit = self.cursor.version().map_or(WHOLE, |_| self.hold + GRACE);
         let kept = self.sender.is_some();
         match tokio::time::timeout(limit, self.exchange()).await {
             Err(_) => Err("no answer in time".into()),
@@ -140,11 +140,7 @@
             None => self.connect().await?,
         };
         sender.ready().await.map_err(|e| format!("connection lost: {e}"))?;
-        let path = match self.version {
-            None => "/catalog/members".to_owned(),
-            // Danger: 0 is a version like any other; without it each call is for the whole list, and no watch.
-            Some(version) => format!("/catalog/members?from={version}&hold_ms={}", self.hold.as_millis()),
-        };
+        let path = self.cursor.path(self.hold.as_millis());
         let request = Request::get(path).header(HOST, self.addr.to_string()).body(Body::default());
         let response = sender.send_request(request.map_err(|e| e.to_string())?).await;
         let (head, body) = response.map_err(|e| format!("no answer: {e}"))?.into_parts();
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -1,12 +1,13 @@
 //! The sole owner of the decision module and of all requests, attempts and timers: events of the network go in,
 //! the module's actions come out. Each request gets one final answer.
 
-use super::config::{Config, Member, Names};
+use super::config::{Config, Names};
 use super::upstream::{Ended, Job, Tether, Upstreams};
+use crate::api::*;
+use crate::Balancer;
 use hyper::body::Bytes;
 use hyper::Response;
-use ravenlug::api::*;
-use ravenlug::Balancer;
+use rushquay_nodes::Member;
 use rustc_hash::FxHashMap;
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -121,6 +122,11 @@
         self.upstreams.any_ready()
     }
 
+    /// Time on the one clock, in nanoseconds.
+    pub fn now(&self) -> Nanos {
+        self.clock.now()
+    }
+
     /// News of the list.
     pub fn list(&self, kind: ListKind, members: &[Member]) {
         let entries: Vec<(Entry, Option<SocketAddr>)> = members.iter().map(|m| self.names.entry(m)).collect();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,9 +1,11 @@
 //! The sockets' side of the proxy: it translates between the network and the decision module.
 
 pub mod config;
-pub mod discovery;
-pub mod engine;
+pub mod control;
+mod discovery;
+mod engine;
 mod gate;
+mod nodes;
 pub mod server;
 mod socket;
 mod upstream;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,12 +1,15 @@
 //! The listener, clients' connections and requests, their answers, and the drain.
 
 use super::config::Config;
+use super::control;
 use super::discovery::{self, Discovery};
 use super::engine::{Answer, Asked, Engine, Ticket};
 use super::gate::{Gate, Seen};
+use super::nodes::NodeList;
 use super::socket::{Descriptors, Permit, Socket};
 use super::upstream::{Job, Upstreams, TIME_LEFT};
 use super::{Body, BODY_MOST, BUFFER_MOST};
+use crate::api::{self, Effect, Nanos};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -14,7 +17,6 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Version};
 use hyper_util::rt::TokioIo;
-use ravenlug::api::{self, Effect, Nanos};
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::convert::Infallible;
@@ -156,25 +158,41 @@
     }
 }
 
-/// Serves until `stop`, then drains; follows another discovery when the file names one at a `hangup`.
-pub async fn run(config: Config, stop: impl Future<Output = ()>, mut hangup: Signal) -> Result<(), String> {
+/// Serves until `stop`, then drains; follows another discovery when the file names one at a `hangup`. `told` hears
+/// where it listens.
+///
+/// # Errors
+/// An address that can't be listened on.
+pub async fn run(
+    config: Config,
+    stop: impl Future<Output = ()>,
+    mut hangup: Signal,
+    told: impl FnOnce(SocketAddr),
+) -> Result<(), String> {
     let listen = config.listen;
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
     let bound = listener.local_addr().map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
     super::log(format_args!("listening on {bound}"));
+    told(bound);
     // Danger: each connection may come to hold a body and what is read ahead of it. So many are taken as there is
     // room for, even if all of them do.
     let room = config.memory.saturating_sub(OWN_MEMORY) / (BODY_MOST + 2 * BUFFER_MOST);
-    let descriptors = Descriptors::new(config.sockets.saturating_sub(OWN_DESCRIPTORS).min(room).max(8));
+    let own = OWN_DESCRIPTORS + config.control.as_ref().map_or(0, |_| control::DESCRIPTORS);
+    let descriptors = Descriptors::new(config.sockets.saturating_sub(own).min(room).max(8));
     let clients_most = descriptors.free() / 2;
     let settings = config.settings.clone();
     let upstreams = Upstreams::new(descriptors.clone(), config.connect_timeout, settings.conn_idle);
     let (watch, asked) = mpsc::unbounded_channel();
     let (addr, version) = (config.discovery, config.known.as_ref().map(|known| known.version));
     let discovery = Discovery::new(addr, version, settings.must_ask_in);
+    let (subscription, known) = (control::Subscription::of(&config), config.known.clone());
     let engine = Engine::new(config, upstreams.clone(), watch);
+    let nodes = NodeList::new(engine.clone(), subscription.as_ref().map(|s| s.limits()), known.as_ref());
     let (moves, moved) = mpsc::unbounded_channel();
-    tokio::task::spawn_local(discovery.follow(engine.clone(), asked, moved));
+    tokio::task::spawn_local(discovery.follow(nodes.clone(), asked, moved));
+    if let Some(subscription) = subscription {
+        tokio::task::spawn_local(subscription.follow(nodes));
+    }
     tokio::task::spawn_local(async move {
         while hangup.recv().await.is_some() {
             match Config::again() {
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -2,13 +2,13 @@
 
 use super::socket::{Descriptors, Io, Socket};
 use super::{Body, BODY_MOST, BUFFER_MOST};
+use crate::api::{Entry, Nanos, ServerId, State, Status};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use ravenlug::api::{Entry, Nanos, ServerId, State, Status};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
