Test proxies and control service together through cuts, restarts and bad peers

Change: stand-ins (nodes, discovery, clients, a link that can be cut) in a crate of their own; proxies can run on threads of one process. 19 tests: a proxy that missed a drain, a removal and a new start under the same id; streams cut at twelve places; a control service that restarts empty, on an old list, twice with versions starting over; an old one beside a new one; refusals; malformed, oversized and unknown requests, ten thousand names; a peer that never reads; mutual TLS; forty proxies and one drain; the commands as run.

--- a/crates/xds/src/server/mod.rs
+++ b/crates/xds/src/server/mod.rs
@@ -314,6 +314,7 @@
     /// included. All of it is owed again, with the next change.
     fn refused(&mut self, out: Out) {
         self.at = out.before;
+        self.sotw.owed = true;
         self.delta.fresh.extend(out.fresh);
     }
 
--- a/crates/xds/src/server/sotw.rs
+++ b/crates/xds/src/server/sotw.rs
@@ -25,6 +25,8 @@
 pub(super) struct Extra {
     /// Something was newly asked for: an answer is due, changed or not.
     pub(super) asked: bool,
+    /// The last answer was refused: all of it is owed, with the next change.
+    pub(super) owed: bool,
     /// Removed resources that still stand in the answers, until nothing refers to them.
     leaving: BTreeSet<Arc<str>>,
     /// Something has been sent.
@@ -80,7 +82,7 @@
         if self.rests(kind, store) && !self.sotw.asked {
             return Ok(None);
         }
-        let mut due = self.sotw.asked;
+        let mut due = self.sotw.asked || self.sotw.owed;
         let after = store.last(kind).max(self.at);
         match store.changed(kind, self.at) {
             // Each answer is whole, so what has been forgotten doesn't matter.
@@ -114,7 +116,7 @@
             names.iter().filter_map(|n| store.get(kind, n).cloned()).collect();
         let leaving = self.sotw.leaving.iter().filter(|n| !names.contains(*n));
         resources.extend(leaving.filter_map(|n| store.last_of(kind, n).cloned()));
-        self.sotw.asked = false;
+        (self.sotw.asked, self.sotw.owed) = (false, false);
         if resources.is_empty() && !kind.whole() {
             // "Knowing when a requested resource does not exist": it is not answered until there is something.
             self.at = after;
--- a/crates/xds/tests/converge.rs
+++ b/crates/xds/tests/converge.rs
@@ -106,7 +106,8 @@
             self.client.ended(Ended::Unimplemented, 0.5);
         }
         // Cuts inside what follows are cuts like any other.
-        self.stream = Some(Stream::new(self.client.variant(), None, Limits { answer: 8, ..Limits::default() }));
+        self.stream =
+            Some(Stream::new(self.client.variant(), None, Limits { answer: 8, ..Limits::default() }));
         self.to_server.extend(self.client.connected());
     }
 
@@ -163,7 +164,11 @@
         let reply = self.client.answer(message, |_, came| {
             let text = String::from_utf8_lossy(&came.body).into_owned();
             let (name, value) = text.split_once('=').ok_or("no value")?;
-            if refuse { Err("refused".to_owned()) } else { Ok((name.to_owned(), value.to_owned())) }
+            if refuse {
+                Err("refused".to_owned())
+            } else {
+                Ok((name.to_owned(), value.to_owned()))
+            }
         });
         self.to_server.extend(reply.ask);
         if let Some(update) = reply.update {
--- a/crates/xds/tests/server.rs
+++ b/crates/xds/tests/server.rs
@@ -30,7 +30,12 @@
 
 fn reply(a: &Answer, error: Option<&str>) -> DeltaRequest {
     let error = error.map(str::to_owned);
-    DeltaRequest { type_url: a.kind.type_url().into(), nonce: a.nonce.clone(), error, ..DeltaRequest::default() }
+    DeltaRequest {
+        type_url: a.kind.type_url().into(),
+        nonce: a.nonce.clone(),
+        error,
+        ..DeltaRequest::default()
+    }
 }
 
 fn next(stream: &mut Stream, store: &Store) -> Option<Answer> {
@@ -68,7 +73,11 @@
 
 #[test]
 fn a_delta_holds_what_changed_alone() {
-    let mut store = store(&[(LEDS, "xdstp://x/e/c/z/a", "1"), (LEDS, "xdstp://x/e/c/z/b", "1"), (LEDS, "xdstp://x/e/d/z/a", "1")]);
+    let mut store = store(&[
+        (LEDS, "xdstp://x/e/c/z/a", "1"),
+        (LEDS, "xdstp://x/e/c/z/b", "1"),
+        (LEDS, "xdstp://x/e/d/z/a", "1"),
+    ]);
     let mut s = delta();
     s.delta(subscribe(LEDS, &["xdstp://x/e/c/z/*"])).expect("heard");
     let first = drain(&mut s, &store);
@@ -210,7 +219,11 @@
         seen.push((answer.kind, answer.resources.len(), answer.removed.len()));
         out.push(answer);
     }
-    assert_eq!(seen, [(CDS, 1, 0), (EDS, 1, 0), (Kind::Route, 1, 0)], "nothing goes before the route was taken");
+    assert_eq!(
+        seen,
+        [(CDS, 1, 0), (EDS, 1, 0), (Kind::Route, 1, 0)],
+        "nothing goes before the route was taken"
+    );
     for answer in &out {
         s.delta(reply(answer, None)).expect("an ACK");
     }
@@ -282,7 +295,8 @@
     let piecemeal: Vec<_> = refs.chunks(1000).map(|part| s.delta(subscribe(EDS, part))).collect();
     assert!(piecemeal.contains(&Err(too_many.clone())), "bit by bit too");
     let mut s = Stream::new(Variant::Sotw, None, Limits::default());
-    let request = SotwRequest { type_url: EDS.type_url().into(), names: names.clone(), ..SotwRequest::default() };
+    let request =
+        SotwRequest { type_url: EDS.type_url().into(), names: names.clone(), ..SotwRequest::default() };
     assert_eq!(s.sotw(request), Err(too_many));
     let long = "x".repeat(2000);
     assert_eq!(delta().delta(subscribe(EDS, &[&long])), Err(StreamError::TooLong(1024)));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 mod discovery;
 mod engine;
 mod gate;
+pub mod local;
 mod nodes;
 pub mod server;
 mod socket;
--- /dev/null
+++ b/tests/control/program.rs
@@ -0,0 +1,225 @@
+//! The program's commands as they are run.
+
+use super::*;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("rushquay-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a folder");
+        Folder(path)
+    }
+
+    fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).expect("written");
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn rushquay(args: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_rushquay"));
+    command.env_clear().args(args);
+    command
+}
+
+fn run(args: &[&str]) -> Output {
+    rushquay(args).output().expect("run")
+}
+
+fn check(path: &Path) -> (bool, String) {
+    let out = run(&["check", path.to_str().expect("a path")]);
+    (
+        out.status.success(),
+        String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr),
+    )
+}
+
+/// A running `rushquay control`, ended with the test.
+struct Running {
+    child: Child,
+    xds: String,
+    admin: SocketAddr,
+}
+
+impl Running {
+    fn new(args: &[&str]) -> Self {
+        let mut command = rushquay(&["control", "--listen", "127.0.0.1:0", "--admin", "127.0.0.1:0"]);
+        let mut child =
+            command.args(args).stdout(Stdio::piped()).stderr(Stdio::null()).spawn().expect("started");
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().expect("output")).read_line(&mut line).expect("a line");
+        let mut parts = line.trim().split(' ');
+        assert_eq!(parts.next(), Some("listening"), "{line}");
+        let xds = parts.next().and_then(|p| p.strip_prefix("xds=")).expect("xds=").to_owned();
+        let admin =
+            parts.next().and_then(|p| p.strip_prefix("admin=")).expect("admin=").parse().expect("an address");
+        Running { child, xds, admin }
+    }
+
+    fn get(&self, path: &str) -> (u16, String) {
+        let mut stream = std::net::TcpStream::connect(self.admin).expect("connected");
+        stream.set_read_timeout(Some(LONG)).expect("time-out");
+        write!(stream, "GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").expect("written");
+        let mut text = String::new();
+        stream.read_to_string(&mut text).expect("an answer");
+        let (head, body) = text.split_once("\r\n\r\n").expect("a head");
+        (head.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status"), body.to_owned())
+    }
+
+    fn states(&self) -> Vec<(String, String)> {
+        let status: Value = serde_json::from_str(&self.get("/status").1).expect("JSON");
+        let text = |v: &Value| v.as_str().unwrap_or_default().to_owned();
+        status["nodes"]
+            .as_array()
+            .expect("nodes")
+            .iter()
+            .map(|n| (text(&n["id"]), text(&n["state"])))
+            .collect()
+    }
+
+    fn signal(&self, name: &str) {
+        let done = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(done.expect("kill").success());
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn list(version: u64, state: &str) -> String {
+    let node = |id: &str, state: &str| json!({"id": id, "addr": "127.0.0.1:9", "zone": "rajkot", "kind": "std-1c", "state": state});
+    json!({"version": version, "full": true, "servers": [node("a", "ready"), node("b", state)]}).to_string()
+}
+
+#[tokio::test]
+async fn control_follows_a_file_and_tells_where_it_listens() {
+    let folder = Folder::new("file");
+    let file = folder.write("nodes.json", &list(1, "ready"));
+    let mut running = Running::new(&["--nodes", file.to_str().expect("a path")]);
+    assert!(running.xds.parse::<SocketAddr>().is_ok_and(|a| a.port() != 0));
+    assert_eq!(running.get("/healthz").0, 200);
+    let both = |state: &str| vec![("a".to_owned(), "ready".to_owned()), ("b".to_owned(), state.to_owned())];
+    assert_eq!(running.states(), both("ready"));
+    // Replaced by a rename.
+    let new = folder.write("new.json", &list(2, "draining"));
+    std::fs::rename(new, &file).expect("renamed");
+    until("the new file counts", || running.states() == both("draining")).await;
+    // What can't be read changes nothing, and is told.
+    folder.write("nodes.json", "{");
+    until("the fault is told", || {
+        running.get("/status").1.contains("nodes.json")
+            && running.get("/metrics").1.contains("rushquay_control_source_up 0")
+    })
+    .await;
+    assert_eq!(running.states(), both("draining"));
+    folder.write("nodes.json", &list(3, "ready"));
+    running.signal("-HUP");
+    until("the mended file counts", || running.states() == both("ready")).await;
+    assert!(running.get("/metrics").1.contains("rushquay_control_nodes{state=\"ready\"} 2\n"));
+    assert_eq!(running.get("/elsewhere").0, 404);
+    running.signal("-TERM");
+    assert!(running.child.wait().expect("ended").success());
+}
+
+#[tokio::test]
+async fn control_without_a_list_is_not_healthy() {
+    let down = Discovery::start(1, &[]).await;
+    down.down(true);
+    let addr = down.addr.to_string();
+    let running =
+        tokio::task::spawn_blocking(move || Running::new(&["--discovery", &addr])).await.expect("started");
+    let (running, health) = tokio::task::spawn_blocking(move || {
+        let h = running.get("/healthz").0;
+        (running, h)
+    })
+    .await
+    .expect("asked");
+    assert_eq!(health, 503);
+    drop(running);
+}
+
+#[test]
+fn listening_beyond_loopback_without_tls_is_refused() {
+    let folder = Folder::new("beyond");
+    let file = folder.write("nodes.json", &list(1, "ready"));
+    let file = file.to_str().expect("a path");
+    for args in [
+        ["--listen", "0.0.0.0:0", "--admin", "127.0.0.1:0"],
+        ["--listen", "127.0.0.1:0", "--admin", "0.0.0.0:0"],
+    ] {
+        let out = run(&[&["control", "--nodes", file][..], &args[..]].concat());
+        let said = String::from_utf8_lossy(&out.stderr).into_owned();
+        assert!(!out.status.success() && said.contains("beyond loopback"), "{said}");
+    }
+}
+
+#[test]
+fn check_names_file_field_and_what_was_expected() {
+    let folder = Folder::new("check");
+    let discovery = "127.0.0.1:9".parse().expect("an address");
+    let good = proxy_config("p", discovery, &[discovery], &[]);
+    let mut bad = good.clone();
+    bad["settings"]["categories"][0]["deadline_ns"] = json!(0);
+    let mut bare = good.clone();
+    bare["control"]["addresses"] = json!(["10.0.0.1:5"]);
+    let cases = [
+        ("good.json", list(1, "ready"), None),
+        ("list.json", list(1, "redy"), Some(("servers[1].state", "ready or draining"))),
+        ("proxy.json", good.to_string(), None),
+        ("deadline.json", bad.to_string(), Some(("settings.categories.0.deadline_ns", "missing or 0"))),
+        ("bare.json", bare.to_string(), Some(("control.tls", "beyond loopback"))),
+        ("none.json", "{}".into(), Some(("(file)", "servers"))),
+        ("control.toml", "[control]\nhold_s = 60\n[control.weights]\n\"slow-1c\" = 0.7\n".into(), None),
+        ("hold.toml", "[control]\nhold_s = 0\n".into(), Some(("control.hold_s", "seconds from 1 to 604800"))),
+        ("word.toml", "[control]\nholds = 1\n".into(), Some(("holds", "expected one of"))),
+        (
+            "weight.toml",
+            "[control.weights]\nx = 0.0\n".into(),
+            Some(("control.weights.x", "a factor over 0")),
+        ),
+        ("limits.toml", "[limits]\nstreams = 0\n".into(), Some(("limits.streams", "1 to 1000000"))),
+        ("sub.toml", "addresses = [\"127.0.0.1:9\"]\n".into(), None),
+        ("empty.toml", "addresses = []\n".into(), Some(("addresses", "one address at least"))),
+    ];
+    for (name, text, fault) in cases {
+        let path = folder.write(name, &text);
+        let (passed, said) = check(&path);
+        match fault {
+            None => assert!(passed, "{name}: {said}"),
+            Some((field, expected)) => {
+                assert!(
+                    !passed && [name, field, expected].iter().all(|p| said.contains(p)),
+                    "{name}: {said}"
+                );
+            }
+        }
+    }
+    // What is shipped is good.
+    let shipped = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/subscription.toml");
+    assert!(check(Path::new(shipped)).0);
+    let shipped = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/control.toml");
+    assert!(check(Path::new(shipped)).0);
+}
+
+/// Bare, and as `proxy`: both say the same without a configuration.
+#[test]
+fn bare_is_the_proxy() {
+    let said = |args: &[&str]| String::from_utf8_lossy(&run(args).stderr).into_owned();
+    assert!(said(&[]).contains("PROXY_CONFIG is not set"));
+    assert_eq!(said(&[]), said(&["proxy"]));
+}
