--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 mod check;
+mod demo;
 
 use clap::{Parser, Subcommand};
 use ravenlug::net;
@@ -47,6 +48,12 @@
         #[arg(long, value_name = "FILE")]
         config: Option<PathBuf>,
     },
+    /// A small installation on loopback: requests, a drain, and how soon each proxy left the node.
+    Demo {
+        /// End when it has been shown; else Ctrl-C ends it.
+        #[arg(long)]
+        once: bool,
+    },
     /// Checks a node list, a proxy's configuration, or settings of either command; names what is wrong.
     Check {
         /// The file: .json or .toml.
@@ -72,6 +79,7 @@
             };
             control(Options { listen, source, admin, settings: settings.clone() })
         }
+        Command::Demo { once } => threads()?.block_on(async { demo::demo(once, ending()?).await }),
         Command::Check { file } => {
             println!("{}", check::check(&file)?);
             Ok(())
@@ -112,11 +120,15 @@
     tokio::task::LocalSet::new().block_on(&runtime, run)
 }
 
-/// The control service, on a few threads.
-fn control(options: Options) -> Result<(), String> {
+fn threads() -> Result<tokio::runtime::Runtime, String> {
     let threads = std::thread::available_parallelism().map_or(2, |n| n.get().clamp(2, 8));
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(threads).enable_all().build();
-    runtime.map_err(|e| format!("the runtime: {e}"))?.block_on(async {
+    runtime.map_err(|e| format!("the runtime: {e}"))
+}
+
+/// The control service, on a few threads.
+fn control(options: Options) -> Result<(), String> {
+    threads()?.block_on(async {
         let mut hangup = hangup()?;
         let mut ending = std::pin::pin!(ending()?);
         let service = start(options).await.map_err(|e| e.to_string())?;
--- a/tests/control/program.rs
+++ b/tests/control/program.rs
@@ -223,3 +223,27 @@
     assert!(said(&[]).contains("PROXY_CONFIG is not set"));
     assert_eq!(said(&[]), said(&["proxy"]));
 }
+
+#[test]
+fn the_demo_shows_a_drain_and_ends() {
+    let out = run(&["demo", "--once"]);
+    let said = String::from_utf8_lossy(&out.stdout).into_owned();
+    assert!(out.status.success(), "{said} {}", String::from_utf8_lossy(&out.stderr));
+    assert!(said.contains("draining cache-03") && said.contains("0 failed, 0 lost"), "{said}");
+}
+
+/// SIGINT, as Ctrl-C sends it, ends the demo cleanly.
+#[test]
+fn the_demo_ends_on_ctrl_c() {
+    let mut child =
+        rushquay(&["demo"]).stdout(Stdio::piped()).stderr(Stdio::null()).spawn().expect("started");
+    let mut out = BufReader::new(child.stdout.take().expect("output"));
+    let mut line = String::new();
+    while !line.contains("try by hand") {
+        line.clear();
+        assert!(out.read_line(&mut line).expect("a line") > 0, "it ended by itself");
+    }
+    let done = Command::new("kill").args(["-INT", &child.id().to_string()]).status();
+    assert!(done.expect("kill").success());
+    assert!(child.wait().expect("ended").success());
+}
