Cut answers at 128 KiB and take a stream for settled only after quiet

Seen: 1,851 MB resident with 1,000 subscribers of 5,000 endpoints: a stream keeps a buffer as long as its longest answer. Cutting answers shorter showed that a proxy took a stream for settled after its first answer, where an old control service could have been believed in the second. Change: answers of 128 KiB; settled after 3 s in which nothing was told.

--- a/crates/resources/src/follow.rs
+++ b/crates/resources/src/follow.rs
@@ -35,8 +35,6 @@
     plain: BTreeSet<String>,
     /// What was last said, by id.
     said: BTreeMap<String, Stated>,
-    /// The stream has had its say: an answer with endpoints has come.
-    settled: bool,
 }
 
 impl Follow {
@@ -46,12 +44,7 @@
         let client = Client::new(config.addresses, backoff, config.most);
         let (assignments, endpoints) = Default::default();
         let (plain, said) = Default::default();
-        Follow { config, client, assignments, endpoints, plain, said, settled: false }
-    }
-
-    /// Whether the stream has told of endpoints since it was opened.
-    pub fn settled(&self) -> bool {
-        self.settled
+        Follow { config, client, assignments, endpoints, plain, said }
     }
 
     fn assignments_wanted(&self) -> BTreeSet<String> {
@@ -92,7 +85,6 @@
                     self.endpoints.insert(name, stated);
                 }
                 Item::Assignment { endpoints, collections } => {
-                    self.settled |= !endpoints.is_empty();
                     let endpoints = endpoints.into_iter().map(|s| (s.member.id.clone(), s)).collect();
                     self.assignments.insert(name, (endpoints, collections));
                 }
@@ -135,7 +127,6 @@
     }
 
     fn connected(&mut self) -> Vec<Ask> {
-        self.settled = false;
         self.plain.clear();
         // What is wanted is set before anything is sent, in the form that this stream can carry.
         let _ = self.client.want(Kind::Endpoints, self.assignments_wanted());
@@ -150,7 +141,6 @@
         let mut taken = Taken { asks: reply.ask.into_iter().collect(), news: None, refused: reply.refused };
         let Some(update) = reply.update else { return taken };
         let process = update.control_plane.clone();
-        self.settled |= update.kind == Kind::Endpoint;
         self.take(update);
         self.prune();
         // What the assignments name now.
--- a/crates/xds/src/server/mod.rs
+++ b/crates/xds/src/server/mod.rs
@@ -26,7 +26,9 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { names: 4096, text: 1024, answer: 1 << 20 }
+        // Danger: a stream keeps a buffer as long as its longest answer; a megabyte each for a thousand subscribers is a
+        // gigabyte that nobody uses.
+        Limits { names: 4096, text: 1024, answer: 128 << 10 }
     }
 }
 
--- a/examples/control_figures.rs
+++ b/examples/control_figures.rs
@@ -151,7 +151,7 @@
 
 async fn subscriber(addr: String, number: usize, way: Way, endpoints: usize, got: Arc<Received>) {
     // Not all at once.
-    tokio::time::sleep(Duration::from_micros(number as u64 * 300)).await;
+    tokio::time::sleep(Duration::from_millis(number as u64)).await;
     let channel =
         Endpoint::from_shared(format!("http://{addr}")).expect("a URI").connect().await.expect("connected");
     let mut client = AggregatedDiscoveryServiceClient::new(channel).max_decoding_message_size(64 << 20);
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -16,8 +16,9 @@
 /// Descriptors that it may hold: a connection, and one that is just ending.
 pub const DESCRIPTORS: usize = 4;
 const TICK: Duration = Duration::from_secs(1);
-/// A stream that has been open for so long has had its say, though it had nothing to tell.
-const SETTLED_AFTER: Duration = Duration::from_secs(5);
+/// A stream that has told nothing for so long has had its say. Danger: what brings a proxy up to date may come in many
+/// answers; taken for settled after the first, an old control service would be believed in the second.
+const SETTLED_AFTER: Duration = Duration::from_secs(3);
 /// An answer is at most this long; five thousand endpoints inline take a quarter of it.
 const ANSWER_MOST: usize = 8 << 20;
 
@@ -179,23 +180,21 @@
             random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
             (random >> 11) as f64 / (1u64 << 53) as f64
         };
-        let connected = std::cell::Cell::new(None::<Instant>);
-        let following = run(options, &mut follow, chance, |session: &Follow, notice| match notice {
+        // Since when the stream has told nothing; `None`: it is not open, or has had its say.
+        let quiet = std::cell::Cell::new(None::<Instant>);
+        let following = run(options, &mut follow, chance, |_: &Follow, notice| match notice {
             Notice::Connected(addr) => {
                 super::log(format_args!("control service at {addr}: connected"));
-                connected.set(Some(Instant::now()));
+                quiet.set(Some(Instant::now()));
             }
             Notice::News((process, news)) => {
                 nodes.controlled(&process, news);
-                if session.settled() {
-                    connected.set(None);
-                    nodes.control_confirmed();
-                }
+                quiet.set(quiet.get().map(|_| Instant::now()));
             }
             Notice::Refused(why) => super::log(format_args!("control service: refused an answer: {why}")),
             Notice::Lost(addr, why) => {
                 super::log(format_args!("control service at {addr}: {why}; the list stays as it is"));
-                connected.set(None);
+                quiet.set(None);
                 nodes.control_lost();
             }
         });
@@ -204,8 +203,8 @@
             loop {
                 tick.tick().await;
                 nodes.tick();
-                if connected.get().is_some_and(|since| since.elapsed() >= SETTLED_AFTER) {
-                    connected.set(None);
+                if quiet.get().is_some_and(|since| since.elapsed() >= SETTLED_AFTER) {
+                    quiet.set(None);
                     nodes.control_confirmed();
                 }
             }
