Hand out clusters as rings, so that plain gRPC clients obey endpoint weights

Seen: a proxyless client (grpcio 1.85.3) sent 400 and 400 of 800 calls to two nodes of one zone with weights 1 and 3; round robin there passes over endpoint weights and knows those of localities alone.

--- a/crates/resources/src/encode.rs
+++ b/crates/resources/src/encode.rs
@@ -21,7 +21,7 @@
 use envoy_types::pb::envoy::extensions::filters::network::http_connection_manager::v3::{
     http_connection_manager::RouteSpecifier, http_filter::ConfigType, HttpConnectionManager, HttpFilter, Rds,
 };
-use envoy_types::pb::google::protobuf::{value, Any, Duration, Struct, UInt32Value, Value};
+use envoy_types::pb::google::protobuf::{value, Any, Duration, Struct, UInt32Value, UInt64Value, Value};
 use prost::{Message, Name};
 use rushquay_nodes::{NodeState, Stated};
 use rushquay_xds::{version_of, Declared, Kind, Nanos, Store};
@@ -157,14 +157,12 @@
     zones
 }
 
-fn locality(zone: &str, nodes: &[&Stated]) -> LocalityLbEndpoints {
-    // Danger: gRPC passes over a locality without a weight. Its weight is that of its endpoints that take work; the
-    // sum over localities has to fit 32 bits.
-    let ready = nodes.iter().filter(|n| n.member.state == NodeState::Ready);
-    let sum: u64 = ready.map(|n| u64::from(weight(n.member.weight))).sum();
+/// A locality without its endpoints. Danger: gRPC passes over one without a weight, and multiplies its weight with
+/// that of each endpoint on the ring; where all are alike, what counts is the endpoints' own.
+fn locality(zone: &str) -> LocalityLbEndpoints {
     LocalityLbEndpoints {
         locality: Some(Locality { zone: zone.to_owned(), ..Locality::default() }),
-        load_balancing_weight: Some(UInt32Value { value: sum.clamp(1, 100_000_000) as u32 }),
+        load_balancing_weight: Some(UInt32Value { value: 1 }),
         ..LocalityLbEndpoints::default()
     }
 }
@@ -175,7 +173,7 @@
         nodes.iter().filter(|(_, n)| n.member.addr.is_some()).map(|(i, n)| (i.clone(), n.clone())).collect();
     let endpoints = zones(&reachable).into_iter().map(|(zone, nodes)| LocalityLbEndpoints {
         lb_endpoints: nodes.iter().map(|n| endpoint(n)).collect(),
-        ..locality(zone, &nodes)
+        ..locality(zone)
     });
     let assignment = ClusterLoadAssignment {
         cluster_name: cluster.to_owned(),
@@ -190,13 +188,11 @@
 fn by_collections(cluster: &str, nodes: &Nodes) -> Declared {
     let zones: BTreeSet<&str> = nodes.values().map(|n| n.member.zone.as_str()).collect();
     let endpoints = zones.iter().map(|zone| LocalityLbEndpoints {
-        locality: Some(Locality { zone: (*zone).to_owned(), ..Locality::default() }),
-        load_balancing_weight: Some(UInt32Value { value: 1 }),
         lb_config: Some(LbConfig::LedsClusterLocalityConfig(LedsClusterLocalityConfig {
             leds_config: Some(ads()),
             leds_collection_name: collection_name(cluster, zone),
         })),
-        ..LocalityLbEndpoints::default()
+        ..locality(zone)
     });
     let assignment = ClusterLoadAssignment {
         cluster_name: assignment_name(cluster),
@@ -224,10 +220,16 @@
         cluster_discovery_type: Some(cluster::ClusterDiscoveryType::Type(cluster::DiscoveryType::Eds as i32)),
         eds_cluster_config: Some(cluster::EdsClusterConfig { eds_config: Some(ads()), ..Default::default() }),
         connect_timeout: Some(Duration { seconds: 1, nanos: 0 }),
-        lb_policy: cluster::LbPolicy::RoundRobin as i32,
+        // Round robin passes over the endpoints' weights in gRPC. On a ring without a hash policy each request goes to a
+        // random place (gRFC A42, "Hash policy"), so that weights are obeyed, within a zone and between them.
+        lb_policy: cluster::LbPolicy::RingHash as i32,
+        lb_config: Some(cluster::LbConfig::RingHashLbConfig(cluster::RingHashLbConfig {
+            minimum_ring_size: Some(UInt64Value { value: 1024 }),
+            ..Default::default()
+        })),
         ..Cluster::default()
     };
-    declared(&format!("cluster 1 {name:?}"), &message)
+    declared(&format!("cluster 2 {name:?}"), &message)
 }
 
 /// What a proxyless gRPC client resolves: a listener with `api_listener` (gRFC A27, "Listener Proto").
