Test the list from control service to proxy as a whole; keep removals through a fallback

Need: the proxy has to end with the declared list also where a control service stops and starts speaking delta. Change: a property test of control state, resources, both ends of the protocol and the merge together, and six tests of forms and fallbacks. Mended: a proxy that fell back to state-of-the-world forgot which endpoints of collections it held, so that one removed meanwhile stayed for good. Also: a test of a subscription changed while an answer is on its way, of the limit on streams; the JSON setting is control_service.

--- a/crates/control-service/src/file.rs
+++ b/crates/control-service/src/file.rs
@@ -68,10 +68,7 @@
         }
         tokio::select! {
             () = tokio::time::sleep(LOOK_EVERY) => {}
-            asked = again.recv() => {
-                if asked.is_none() {
-                    tokio::time::sleep(LOOK_EVERY).await;
-                }
+            Some(()) = again.recv() => {
                 (looks, last_text) = (READ_AGAIN, None);
                 last_fault.clear();
             }
--- a/crates/control-service/src/service.rs
+++ b/crates/control-service/src/service.rs
@@ -90,20 +90,19 @@
 
     fn take(&self, told: Told) {
         let mut source = self.source.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut control = self.control.lock().unwrap_or_else(PoisonError::into_inner);
         let list = match told {
             Told::Lost(fault) => {
                 if source.fault.as_ref() != Some(&fault) {
                     log(format!("{fault}; the list stays as it is"));
                 }
                 source.fault = Some(fault);
-                control.source(true);
                 return;
             }
             Told::List(list) => list,
         };
         source.fault = None;
         source.lists += 1;
+        let mut control = self.control.lock().unwrap_or_else(PoisonError::into_inner);
         let now = self.hub.now();
         match control.list(&list, now) {
             Taken::EmptyRefused => {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -122,13 +122,6 @@
         }
     }
 
-    /// The source can't be reached, or can be again.
-    pub fn source(&mut self, lost: bool) {
-        if lost {
-            self.merge.lost(Source::Discovery);
-        }
-    }
-
     /// Lets what has been held for long enough go.
     pub fn tick(&mut self, now: Nanos) -> Change {
         let changes = self.merge.tick(now);
--- a/crates/resources/src/follow.rs
+++ b/crates/resources/src/follow.rs
@@ -130,9 +130,6 @@
         self.plain.clear();
         // What is wanted is set before anything is sent, in the form that this stream can carry.
         let _ = self.client.want(Kind::Endpoints, self.assignments_wanted());
-        if self.variant() == Variant::Sotw {
-            let _ = self.client.want(Kind::Endpoint, BTreeSet::new());
-        }
         self.client.connected()
     }
 
@@ -150,9 +147,7 @@
             self.assignments.values().flat_map(|(_, c)| c.iter().cloned()).collect();
         let patterns: Vec<Pattern> = collections.iter().map(|c| Pattern::parse(c)).collect();
         self.endpoints.retain(|name, _| patterns.iter().any(|p| p.matches(name)));
-        if self.variant() == Variant::Delta {
-            taken.asks.extend(self.client.want(Kind::Endpoint, collections).0);
-        }
+        taken.asks.extend(self.client.want(Kind::Endpoint, collections).0);
         taken.news = self.compare().map(|news| (process, news));
         taken
     }
--- /dev/null
+++ b/crates/resources/tests/follow.rs
@@ -0,0 +1,380 @@
+//! From the list at the control service to the list at the proxy, with everything between them: the control state, the
+//! resources, both ends of the protocol, and the merge. No sockets.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rushquay_control::{Change, Control, ControlConfig, Origin, Taken};
+use rushquay_nodes::{Member, Members, Merge, MergeLimits, News, NodeState};
+use rushquay_resources::{
+    assignment_name, collection_name, declare, declare_changed, Follow, FollowConfig, Shape,
+};
+use rushquay_xds::client::{Ask, Came, Ended, ServerAnswer, Session};
+use rushquay_xds::server::{Answer, DeltaRequest, Limits, SotwRequest, Stream, Variant};
+use rushquay_xds::{Kind, Store};
+use std::collections::{BTreeMap, VecDeque};
+
+fn follow(collections: bool) -> Follow {
+    Follow::new(FollowConfig {
+        addresses: 1,
+        clusters: vec!["cache-nodes".into(), "origin".into()],
+        collections,
+        backoff: (1, 1),
+        most: 1000,
+    })
+}
+
+fn node(id: u8, zone: u8, kind: u8, state: NodeState, started: u64, weight: f64) -> Member {
+    Member {
+        id: id.to_string(),
+        addr: Some(([127, 0, 0, 1], 1000 + u16::from(id)).into()),
+        zone: format!("z{zone}"),
+        kind: if kind == 0 { "origin".into() } else { "std".into() },
+        cell: 3,
+        state,
+        weight,
+        started,
+    }
+}
+
+struct World {
+    version: u64,
+    truth: BTreeMap<String, Member>,
+    control: Control,
+    store: Store,
+    processes: u32,
+    stream: Option<Stream>,
+    follow: Follow,
+    merge: Merge,
+    to_server: VecDeque<Ask>,
+    to_client: VecDeque<Answer>,
+    garble: bool,
+    speaks_delta: bool,
+    has_collections: bool,
+    refusals: u32,
+}
+
+impl World {
+    fn new(has_collections: bool) -> Self {
+        let mut w = World {
+            version: 100,
+            truth: BTreeMap::new(),
+            control: Control::new(ControlConfig::default(), Origin::Discovery),
+            store: Store::new("p0", 16),
+            processes: 0,
+            stream: None,
+            follow: follow(true),
+            merge: Merge::new(MergeLimits::default()),
+            to_server: VecDeque::new(),
+            to_client: VecDeque::new(),
+            garble: false,
+            speaks_delta: true,
+            has_collections,
+            refusals: 0,
+        };
+        w.truth.insert("200".into(), node(200, 0, 1, NodeState::Ready, 1, 1.0));
+        w.whole();
+        w
+    }
+
+    /// The control service is told the whole list.
+    fn whole(&mut self) {
+        let servers = self.truth.values().cloned().collect();
+        let taken = self.control.list(&Members { version: self.version, full: true, servers }, 0);
+        self.taken(taken);
+    }
+
+    fn change(&mut self, changed: Member) {
+        self.version += 1;
+        match changed.state {
+            NodeState::Gone => drop(self.truth.remove(&changed.id)),
+            _ => drop(self.truth.insert(changed.id.clone(), changed.clone())),
+        }
+        let list = Members { version: self.version, full: false, servers: vec![changed] };
+        let taken = self.control.list(&list, 0);
+        self.taken(taken);
+    }
+
+    fn taken(&mut self, taken: Taken) {
+        match taken {
+            Taken::First => {
+                let shape = Shape { cluster: "cache-nodes".into(), origin: "origin".into() };
+                declare(&mut self.store, &shape, self.control.clusters(), 0);
+                self.store.open();
+            }
+            Taken::Changed(Change { changed, gone }) => {
+                for i in 0..2 {
+                    let (name, nodes) = (self.control.names()[i], self.control.clusters()[i]);
+                    declare_changed(&mut self.store, name, nodes, &changed[i], &gone[i], 0);
+                }
+            }
+            Taken::EmptyRefused => panic!("there is always a node"),
+        }
+        if !self.has_collections {
+            // A server that has the plain form alone.
+            for cluster in ["cache-nodes", "origin"] {
+                self.store.remove(Kind::Endpoints, &assignment_name(cluster), 0);
+            }
+        }
+    }
+
+    fn restart(&mut self) {
+        self.cut();
+        self.processes += 1;
+        self.control = Control::new(ControlConfig::default(), Origin::Discovery);
+        self.store = Store::new(&format!("p{}", self.processes), 16);
+        self.whole();
+    }
+
+    fn cut(&mut self) {
+        if self.stream.take().is_some() {
+            self.follow.ended(Ended::Broken, 0.5);
+            self.merge.control("", News::Lost, 0);
+        }
+        self.to_server.clear();
+        self.to_client.clear();
+    }
+
+    fn connect(&mut self) {
+        if self.follow.variant() == Variant::Delta && !self.speaks_delta {
+            self.follow.connected();
+            self.follow.ended(Ended::Unimplemented, 0.5);
+        }
+        self.stream =
+            Some(Stream::new(self.follow.variant(), None, Limits { answer: 600, ..Limits::default() }));
+        self.to_server.extend(self.follow.connected());
+    }
+
+    fn pass(&mut self) -> bool {
+        if self.stream.is_none() {
+            self.connect();
+        }
+        let stream = self.stream.as_mut().expect("a stream");
+        let ask = self.to_server.pop_front();
+        let mut moved = ask.is_some();
+        match ask {
+            Some(Ask::Delta(r)) => drop(stream.delta(r).expect("a good request")),
+            Some(Ask::Sotw(r)) => drop(stream.sotw(r).expect("a good request")),
+            None => {}
+        }
+        match stream.next(&self.store) {
+            Ok(answer) => {
+                moved |= answer.is_some();
+                self.to_client.extend(answer);
+            }
+            Err(_) => {
+                self.cut();
+                return true;
+            }
+        }
+        if let Some(answer) = self.to_client.pop_front() {
+            moved = true;
+            self.take(answer);
+        }
+        moved
+    }
+
+    fn take(&mut self, answer: Answer) {
+        let delta = self.follow.variant() == Variant::Delta;
+        let type_url = answer.kind.type_url().to_owned();
+        let garble = std::mem::take(&mut self.garble);
+        let came = |r: &std::sync::Arc<rushquay_xds::Resource>| Came {
+            name: delta.then(|| r.name.to_string()),
+            version: if delta { r.version.to_string() } else { String::new() },
+            type_url: type_url.clone(),
+            body: if garble { vec![0xff; 9] } else { r.body.to_vec() },
+        };
+        let taken = self.follow.answer(ServerAnswer {
+            resources: answer.resources.iter().map(came).collect(),
+            removed: answer.removed.iter().map(|n| n.to_string()).collect(),
+            version: answer.version,
+            nonce: answer.nonce,
+            control_plane: self.store.incarnation().to_string(),
+            type_url: type_url.clone(),
+        });
+        self.to_server.extend(taken.asks);
+        self.refusals += u32::from(taken.refused.is_some());
+        if let Some((process, news)) = taken.news {
+            self.merge.control(&process, news, 0);
+        }
+    }
+
+    fn settle(&mut self) {
+        let mut quiet = 0;
+        for _ in 0..5000 {
+            quiet = if self.pass() { 0 } else { quiet + 1 };
+            if quiet > 3 {
+                return;
+            }
+        }
+        panic!("no end of messages");
+    }
+
+    fn merged(&self) -> BTreeMap<String, Member> {
+        self.merge.nodes().map(|v| (v.member.id.clone(), v.member.clone())).collect()
+    }
+}
+
+#[test]
+fn all_that_is_said_of_a_node_arrives() {
+    let mut w = World::new(true);
+    let odd = Member {
+        zone: String::new(),
+        kind: "a/b*".into(),
+        ..node(1, 1, 1, NodeState::Draining, 1_764_000_000_123_456_789, 0.1)
+    };
+    w.change(odd);
+    w.change(node(2, 1, 0, NodeState::Ready, 5, 2.5));
+    w.settle();
+    assert_eq!(w.merged(), w.truth);
+}
+
+#[test]
+fn one_change_is_one_endpoint_however_many_there_are() {
+    let mut sizes = Vec::new();
+    for count in [10u8, 190] {
+        let mut w = World::new(true);
+        (0..count).for_each(|i| w.change(node(i, i % 4, 1, NodeState::Ready, 1, 1.0)));
+        w.settle();
+        w.change(node(3, 3, 1, NodeState::Draining, 1, 1.0));
+        let mut bytes = 0;
+        while let Ok(Some(answer)) = w.stream.as_mut().expect("a stream").next(&w.store) {
+            bytes += answer.resources.iter().map(|r| r.body.len() + r.name.len()).sum::<usize>();
+            w.take(answer);
+            w.settle();
+        }
+        assert_eq!(w.merged()["3"].state, NodeState::Draining);
+        sizes.push(bytes);
+    }
+    assert_eq!(sizes[0], sizes[1]);
+}
+
+#[test]
+fn a_server_without_delta_is_asked_for_whole_clusters() {
+    let mut w = World::new(true);
+    w.speaks_delta = false;
+    w.change(node(1, 1, 1, NodeState::Ready, 1, 1.0));
+    w.settle();
+    assert_eq!((w.follow.variant(), w.merged()), (Variant::Sotw, w.truth.clone()));
+    // And back, with what changed meanwhile.
+    w.cut();
+    w.speaks_delta = true;
+    w.change(node(1, 1, 1, NodeState::Gone, 1, 1.0));
+    w.change(node(2, 1, 1, NodeState::Ready, 1, 1.0));
+    w.settle();
+    assert_eq!((w.follow.variant(), w.merged()), (Variant::Delta, w.truth.clone()));
+}
+
+#[test]
+fn a_server_without_collections_is_asked_for_the_plain_form() {
+    let mut w = World::new(false);
+    w.change(node(1, 1, 1, NodeState::Draining, 1, 1.0));
+    w.settle();
+    assert_eq!((w.follow.variant(), w.merged()), (Variant::Delta, w.truth.clone()));
+}
+
+#[test]
+fn what_was_wanted_is_asked_for_by_name() {
+    let mut f = follow(true);
+    let asks = f.connected();
+    let Ask::Delta(DeltaRequest { subscribe, .. }) = &asks[0] else { panic!("delta") };
+    assert_eq!(*subscribe, [assignment_name("cache-nodes"), assignment_name("origin")]);
+    f.ended(Ended::Unimplemented, 0.0);
+    let asks = f.connected();
+    let Ask::Sotw(SotwRequest { names, .. }) = &asks[0] else { panic!("state-of-the-world") };
+    assert_eq!(
+        (names.as_slice(), asks.len()),
+        (["cache-nodes".to_owned(), "origin".to_owned()].as_slice(), 1)
+    );
+    assert!(collection_name("c", "z").ends_with("/c/z/*"));
+}
+
+#[test]
+fn a_refused_answer_changes_nothing_and_the_next_one_brings_all() {
+    let mut w = World::new(true);
+    w.settle();
+    let before = w.merged();
+    w.garble = true;
+    w.change(node(1, 0, 1, NodeState::Ready, 1, 1.0));
+    w.settle();
+    assert_eq!((w.refusals, w.merged()), (1, before));
+    w.change(node(2, 0, 1, NodeState::Ready, 1, 1.0));
+    w.settle();
+    assert_eq!(w.merged(), w.truth);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Put(u8, u8, u8, bool, u64),
+    Gone(u8),
+    Pass(u8),
+    Garble,
+    Cut,
+    Restart,
+    Delta(bool),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        5 => (0u8..6, 0u8..3, 0u8..3, any::<bool>(), 1u64..4).prop_map(|(i, z, k, d, s)| Step::Put(i, z, k, d, s)),
+        2 => (0u8..6).prop_map(Step::Gone),
+        6 => (1u8..8).prop_map(Step::Pass),
+        1 => Just(Step::Garble),
+        1 => Just(Step::Cut),
+        1 => Just(Step::Restart),
+        1 => any::<bool>().prop_map(Step::Delta),
+    ]
+}
+
+fn number(variable: &str, usual: u64) -> u64 {
+    std::env::var(variable).ok().and_then(|v| v.parse().ok()).unwrap_or(usual)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: number("CONVERGE_CASES", 400) as u32,
+        rng_seed: RngSeed::Fixed(number("CONVERGE_SEED", 1)),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever is cut, refused and restarted: the proxy ends with the list as it is.
+    #[test]
+    fn the_proxy_ends_with_the_declared_list(steps in prop::collection::vec(step(), 1..50)) {
+        let mut w = World::new(true);
+        let mut starts: BTreeMap<u8, u64> = BTreeMap::new();
+        for step in steps {
+            match step {
+                Step::Put(id, zone, kind, drains, newer) => {
+                    // A node's start never goes back.
+                    let started = starts.entry(id).or_insert(1);
+                    *started += u64::from(newer == 3);
+                    let state = if drains { NodeState::Draining } else { NodeState::Ready };
+                    w.change(node(id, zone, kind, state, *started, f64::from(kind) + 1.0));
+                }
+                Step::Gone(id) => {
+                    if let Some(member) = w.truth.get(&id.to_string()).cloned() {
+                        w.change(Member { state: NodeState::Gone, ..member });
+                    }
+                }
+                Step::Pass(n) => {
+                    for _ in 0..n {
+                        w.pass();
+                    }
+                }
+                Step::Garble => w.garble = true,
+                Step::Cut => w.cut(),
+                Step::Restart => w.restart(),
+                Step::Delta(speaks) => {
+                    w.cut();
+                    w.speaks_delta = speaks;
+                }
+            }
+        }
+        w.garble = false;
+        // What is owed after a refusal comes with the next change: both forms of both clusters.
+        w.change(node(201, 0, 1, NodeState::Ready, 1, 1.0));
+        w.change(node(202, 9, 0, NodeState::Ready, 1, 1.0));
+        w.settle();
+        prop_assert_eq!(w.merged(), w.truth);
+    }
+}
--- a/crates/standins/src/config.rs
+++ b/crates/standins/src/config.rs
@@ -21,7 +21,7 @@
         "name": name, "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
         "known": if known.is_empty() { Value::Null } else { json!({"version": 1, "full": true, "servers": known}) },
-        "control": control,
+        "control_service": control,
         "settings": {
             "categories": [class("read", "safe"), class("set", "keyed")],
             "customers": [{"name": "demo", "quota_rps": 100_000.0, "fraction": 1.0}],
--- a/crates/xds/src/client/mod.rs
+++ b/crates/xds/src/client/mod.rs
@@ -172,7 +172,7 @@
         let unwanted: Vec<String> =
             watch.held.keys().filter(|n| !patterns.iter().any(|p| p.matches(n))).cloned().collect();
         unwanted.iter().for_each(|n| std::mem::drop(watch.held.remove(n)));
-        let ask = self.connected.then(|| match (variant, watch.begun) {
+        let ask = (self.connected && carries(variant, kind)).then(|| match (variant, watch.begun) {
             (_, false) => watch.first(kind, variant),
             (Variant::Delta, true) => Ask::Delta(DeltaRequest {
                 type_url: kind.type_url().into(),
@@ -194,7 +194,7 @@
             let watch = &mut self.watches[kind as usize];
             watch.begun = false;
             watch.nonce.clear();
-            if !watch.names.is_empty() {
+            if !watch.names.is_empty() && carries(variant, kind) {
                 asks.push(watch.first(kind, variant));
             }
         }
@@ -293,6 +293,12 @@
     }
 }
 
+/// Collections are part of the incremental variant alone ("LEDS"). What is held of them stands while the other variant is
+/// spoken, with its versions. Danger: were these forgotten, nobody would tell of what was removed meanwhile.
+fn carries(variant: Variant, kind: Kind) -> bool {
+    variant == Variant::Delta || kind != Kind::Endpoint
+}
+
 impl Watch {
     fn patterns(&self) -> Vec<Pattern> {
         self.names.iter().map(|n| Pattern::parse(n)).collect()
--- a/examples/control_figures.rs
+++ b/examples/control_figures.rs
@@ -76,8 +76,7 @@
         "| round | proxies that sent to it before | median ms | maximum ms |\n| --- | --- | --- | --- |"
     );
     let (mut every, mut worst) = (Vec::new(), Duration::ZERO);
-    for round in 0..ROUNDS {
-        let node = &nodes[round];
+    for (round, node) in nodes.iter().enumerate().take(ROUNDS) {
         let prefix = |i: usize| format!("p{i}-");
         let active = (0..PROXIES).filter(|i| node.last(&prefix(*i)).is_some()).count();
         let seq = hub.store().seq();
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -148,11 +148,13 @@
         let connect_timeout = Duration::from_nanos(connect);
         let name =
             variable("PROXY_NAME").or_else(|| root["name"].as_str().map(str::to_owned)).unwrap_or_default();
-        let control = match (variable(CONTROL), root.get("control").filter(|c| !c.is_null())) {
+        let control = match (variable(CONTROL), root.get("control_service").filter(|c| !c.is_null())) {
             (Some(path), _) => {
                 Some(ControlSource::read(path.as_ref()).map_err(|e| format!("{CONTROL}: {e}"))?)
             }
-            (None, Some(told)) => Some(ControlSource::from_json(told).map_err(|e| format!("control.{e}"))?),
+            (None, Some(told)) => {
+                Some(ControlSource::from_json(told).map_err(|e| format!("control_service.{e}"))?)
+            }
             (None, None) => None,
         };
         Ok(Config {
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -22,7 +22,7 @@
 /// An answer is at most this long; five thousand endpoints inline take a quarter of it.
 const ANSWER_MOST: usize = 8 << 20;
 
-/// The settings of the subscription: a TOML file that `PROXY_CONTROL` names, or `control` in the proxy's JSON.
+/// The settings of the subscription: a TOML file that `PROXY_CONTROL` names, or `control_service` in the proxy's JSON.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ControlSource {
@@ -96,7 +96,7 @@
         read.map_err(|e| format!("{}: {e}", path.display()))
     }
 
-    /// Reads the `control` object of the proxy's configuration.
+    /// Reads the `control_service` object of the proxy's configuration.
     ///
     /// # Errors
     /// The field and what is wrong with it.
--- a/tests/control/peers.rs
+++ b/tests/control/peers.rs
@@ -365,7 +365,7 @@
     silent.down(true);
     let mut config = proxy_config("p", silent.addr, &[service.xds], &[]);
     let files = pki.files("client");
-    config["control"]["tls"] =
+    config["control_service"]["tls"] =
         json!({"cert": files.cert, "key": files.key, "ca": files.ca, "server_name": "server.rushquay"});
     let proxy = LocalProxy::start(&config.to_string()).expect("a proxy");
     all_taken(&service, 1).await;
@@ -397,3 +397,57 @@
         assert!(answer.is_none(), "told without a certificate that it knows");
     }
 }
+
+/// A subscriber asks for something else while an answer that it hasn't read is on its way, and takes one of its
+/// subscriptions back.
+#[tokio::test]
+async fn what_is_subscribed_to_may_change_while_an_answer_is_on_its_way() {
+    let (_fleet, discovery, service) = rig().await;
+    let mut peer = DeltaPeer::new(&service, "p", subscribe(Kind::Endpoints, &["cache-nodes"])).await;
+    let hub = service.hub().clone();
+    until("an answer is on its way", || hub.counters.answers.load(Relaxed) == 1).await;
+    let unsubscribe = vec!["cache-nodes".to_owned()];
+    let ask = DeltaDiscoveryRequest {
+        resource_names_unsubscribe: unsubscribe,
+        ..subscribe(Kind::Endpoints, &["origin"])
+    };
+    peer.asks.send(ask).await.expect("sent");
+    let first = peer.answer().await.expect("an answer");
+    assert_eq!(first.resources[0].name, "cache-nodes");
+    peer.reply(&first, None).await;
+    let second = peer.answer().await.expect("an answer");
+    assert_eq!(second.resources.iter().map(|r| r.name.as_str()).collect::<Vec<_>>(), ["origin"]);
+    peer.reply(&second, None).await;
+    // A change of what it no longer wants is not told; the next that it wants is.
+    discovery.set("b", "draining");
+    let seq = hub.store().seq();
+    until("the drain is declared", || hub.store().seq() > seq || hub.subscribers()[0].lag == 0).await;
+    let again = subscribe(Kind::Cluster, &["origin"]);
+    peer.asks.send(again).await.expect("sent");
+    assert_eq!(peer.answer().await.expect("an answer").type_url, Kind::Cluster.type_url());
+}
+
+#[tokio::test]
+async fn streams_beyond_the_limit_are_turned_away() {
+    let fleet = nodes(&["a"]).await;
+    let discovery = Discovery::start(41, &ready(&fleet)).await;
+    let limits = rushquay_control_service::LimitSettings { streams: 2, ..Default::default() };
+    let settings = Settings { limits, ..Settings::default() };
+    let service = start(Options { settings, ..options(SourceOption::Discovery(discovery.addr)) })
+        .await
+        .expect("started");
+    let mut held = Vec::new();
+    for i in 0..2 {
+        let mut peer = DeltaPeer::new(&service, &i.to_string(), subscribe(Kind::Cluster, &[])).await;
+        peer.answer().await.expect("an answer");
+        held.push(peer);
+    }
+    let mut client = AggregatedDiscoveryServiceClient::new(channel(&service).await);
+    let refused = client.delta_aggregated_resources(tokio_stream::once(subscribe(Kind::Cluster, &[]))).await;
+    assert_eq!(refused.expect_err("one too many").code(), Code::ResourceExhausted);
+    // A place that is given up is there for the next.
+    drop(held.pop());
+    let hub = service.hub().clone();
+    until("the place is free", || hub.open_streams() == 1).await;
+    DeltaPeer::new(&service, "next", subscribe(Kind::Cluster, &[])).await.answer().await.expect("an answer");
+}
--- a/tests/control/program.rs
+++ b/tests/control/program.rs
@@ -176,13 +176,13 @@
     let mut bad = good.clone();
     bad["settings"]["categories"][0]["deadline_ns"] = json!(0);
     let mut bare = good.clone();
-    bare["control"]["addresses"] = json!(["10.0.0.1:5"]);
+    bare["control_service"]["addresses"] = json!(["10.0.0.1:5"]);
     let cases = [
         ("good.json", list(1, "ready"), None),
         ("list.json", list(1, "redy"), Some(("servers[1].state", "ready or draining"))),
         ("proxy.json", good.to_string(), None),
         ("deadline.json", bad.to_string(), Some(("settings.categories.0.deadline_ns", "missing or 0"))),
-        ("bare.json", bare.to_string(), Some(("control.tls", "beyond loopback"))),
+        ("bare.json", bare.to_string(), Some(("control_service.tls", "beyond loopback"))),
         ("none.json", "{}".into(), Some(("(file)", "servers"))),
         ("control.toml", "[control]\nhold_s = 60\n[control.weights]\n\"slow-1c\" = 0.7\n".into(), None),
         ("hold.toml", "[control]\nhold_s = 0\n".into(), Some(("control.hold_s", "seconds from 1 to 604800"))),
