--- a/tests/control/program.rs
+++ b/tests/control/program.rs
@@ -33,8 +33,18 @@
     command
 }
 
+/// Runs a command that ends by itself.
 fn run(args: &[&str]) -> Output {
-    rushquay(args).output().expect("run")
+    let mut child = rushquay(args).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().expect("started");
+    let start = Instant::now();
+    while child.try_wait().expect("its state").is_none() {
+        if start.elapsed() > LONG {
+            let _ = child.kill();
+            panic!("{args:?} does not end");
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    child.wait_with_output().expect("its output")
 }
 
 fn check(path: &Path) -> (bool, String) {
