Test the log of refusals and both ways to subscribe; take out what nothing calls

Need: a last read of the change: a NACK's line in the log and the two ways of naming the subscription had no test, and a few functions of the client had no caller. Change: tests for both; dead code out; a boxed iterator and a split of the first requests made plain.

--- a/crates/xds-grpc/src/client.rs
+++ b/crates/xds-grpc/src/client.rs
@@ -103,8 +103,6 @@
     let (delta, delta_asks) = mpsc::channel(16);
     let (sotw, sotw_asks) = mpsc::channel(16);
     let gone = |_| Status::unavailable("the stream has ended");
-    let mut first = session.connected();
-    let rest = first.split_off(first.len().min(16));
     let mut send = async |ask: Ask| match ask {
         Ask::Delta(r) => {
             delta.send(convert::to_delta_request(r, node.take())).await.map_err(|_| ()).map_err(gone)
@@ -113,8 +111,8 @@
             sotw.send(convert::to_sotw_request(r, node.take())).await.map_err(|_| ()).map_err(gone)
         }
     };
-    // Danger: a server may answer the call only once something was asked.
-    for ask in first {
+    // Danger: a server may answer the call only once something was asked. There is room for an ask of each kind.
+    for ask in session.connected() {
         send(ask).await?;
     }
     let opening = async {
@@ -131,9 +129,6 @@
     };
     let opened = tokio::time::timeout(CONNECT * 5, opening).await;
     let mut reading = opened.map_err(|_| Status::deadline_exceeded("the stream did not open in time"))??;
-    for ask in rest {
-        send(ask).await?;
-    }
     notice(session, Notice::Connected(addr));
     loop {
         let answer = match &mut reading {
--- a/crates/xds/src/client/backoff.rs
+++ b/crates/xds/src/client/backoff.rs
@@ -35,11 +35,6 @@
         self.failures = self.failures.saturating_add(1);
         Retry { wait: most / 2 + ((most / 2) as f64 * random.clamp(0.0, 1.0)) as Nanos }
     }
-
-    /// The longest wait.
-    pub fn cap(&self) -> Nanos {
-        self.cap
-    }
 }
 
 #[cfg(test)]
--- a/crates/xds/src/client/mod.rs
+++ b/crates/xds/src/client/mod.rs
@@ -8,7 +8,7 @@
 pub use backoff::{Backoff, Retry};
 
 use crate::server::{DeltaRequest, SotwRequest, Variant};
-use crate::{Kind, Nanos, Pattern, KINDS};
+use crate::{Kind, Pattern, KINDS};
 use std::collections::{BTreeSet, HashMap, HashSet};
 
 /// A request to send.
@@ -153,11 +153,6 @@
         }
     }
 
-    /// Names that are held, of one kind.
-    pub fn held(&self, kind: Kind) -> impl Iterator<Item = &str> {
-        self.watches[kind as usize].held.keys().map(String::as_str)
-    }
-
     /// Sets all names of a kind that are wanted; returns what to send for it, and what is no longer held.
     pub fn want(&mut self, kind: Kind, names: BTreeSet<String>) -> (Option<Ask>, Vec<String>) {
         let variant = self.variant();
@@ -286,11 +281,6 @@
         self.only_sotw[self.at] &= how == Ended::Unimplemented;
         self.backoff.failed(random)
     }
-
-    /// The longest wait between two attempts.
-    pub fn longest_wait(&self) -> Nanos {
-        self.backoff.cap()
-    }
 }
 
 /// Collections are part of the incremental variant alone ("LEDS"). What is held of them stands while the other variant is
--- a/crates/xds/src/server/mod.rs
+++ b/crates/xds/src/server/mod.rs
@@ -266,10 +266,8 @@
     /// Whether something that it subscribes to has changed since its last answer, or was newly asked for.
     fn owes(&self, kind: Kind, store: &Store) -> bool {
         let new = !self.delta.fresh.is_empty() || self.sotw.asked;
-        let lacks = |mut changes: Box<dyn Iterator<Item = crate::store::Change<'_>> + '_>| {
-            changes.any(|c| c.live && self.matches(&c.resource.name))
-        };
-        new || store.changed(kind, self.at).is_none_or(|c| lacks(Box::new(c)))
+        let lacks = |change: crate::store::Change<'_>| change.live && self.matches(&change.resource.name);
+        new || store.changed(kind, self.at).is_none_or(|mut changes| changes.any(lacks))
     }
 
     fn draft(
--- a/tests/control/peers.rs
+++ b/tests/control/peers.rs
@@ -25,35 +25,35 @@
 use tonic::transport::{Certificate, Channel, ClientTlsConfig, Endpoint, Identity};
 use tonic::{Code, Status, Streaming};
 
-async fn channel(service: &ControlService) -> Channel {
-    let endpoint = Endpoint::from_shared(format!("http://{}", service.xds)).expect("a URI");
+async fn channel(xds: SocketAddr) -> Channel {
+    let endpoint = Endpoint::from_shared(format!("http://{xds}")).expect("a URI");
     // What a peer lets come unread is its own affair; these let 64 KiB come.
     let endpoint = endpoint.initial_stream_window_size(64 << 10).initial_connection_window_size(64 << 10);
     endpoint.connect().await.expect("connected")
 }
 
 /// A delta stream by hand.
-struct DeltaPeer {
+pub struct DeltaPeer {
     asks: mpsc::Sender<DeltaDiscoveryRequest>,
     answers: Streaming<DeltaDiscoveryResponse>,
 }
 
 impl DeltaPeer {
-    async fn new(service: &ControlService, id: &str, first: DeltaDiscoveryRequest) -> Self {
+    pub async fn new(xds: SocketAddr, id: &str, first: DeltaDiscoveryRequest) -> Self {
         let (asks, rest) = mpsc::channel(64);
         let node = Some(NodeId { id: id.into(), ..NodeId::default() });
         asks.send(DeltaDiscoveryRequest { node, ..first }).await.expect("sent");
-        let mut client = AggregatedDiscoveryServiceClient::new(channel(service).await);
+        let mut client = AggregatedDiscoveryServiceClient::new(channel(xds).await);
         let answers = client.delta_aggregated_resources(ReceiverStream::new(rest)).await.expect("a stream");
         DeltaPeer { asks, answers: answers.into_inner() }
     }
 
-    async fn answer(&mut self) -> Result<DeltaDiscoveryResponse, Status> {
+    pub async fn answer(&mut self) -> Result<DeltaDiscoveryResponse, Status> {
         let answer = tokio::time::timeout(LONG, self.answers.message()).await.expect("an answer in time");
         answer.map(|a| a.expect("the stream goes on"))
     }
 
-    async fn reply(&mut self, to: &DeltaDiscoveryResponse, error: Option<&str>) {
+    pub async fn reply(&mut self, to: &DeltaDiscoveryResponse, error: Option<&str>) {
         let error_detail = error.map(|m| RpcStatus { code: 3, message: m.into(), details: vec![] });
         let (type_url, response_nonce) = (to.type_url.clone(), to.nonce.clone());
         let ask = DeltaDiscoveryRequest { type_url, response_nonce, error_detail, ..Default::default() };
@@ -61,7 +61,7 @@
     }
 }
 
-fn subscribe(kind: Kind, names: &[&str]) -> DeltaDiscoveryRequest {
+pub fn subscribe(kind: Kind, names: &[&str]) -> DeltaDiscoveryRequest {
     DeltaDiscoveryRequest {
         type_url: kind.type_url().into(),
         resource_names_subscribe: names.iter().map(|n| n.to_string()).collect(),
@@ -87,7 +87,7 @@
 async fn a_proxyless_client_resolves_the_cluster_and_sees_the_drain() {
     let (_fleet, discovery, service) = rig().await;
     let (asks, rest) = mpsc::channel::<DiscoveryRequest>(64);
-    let mut client = AggregatedDiscoveryServiceClient::new(channel(&service).await);
+    let mut client = AggregatedDiscoveryServiceClient::new(channel(service.xds).await);
     let ask = |kind: Kind, names: &[&str], last: Option<&DiscoveryResponse>| DiscoveryRequest {
         type_url: kind.type_url().into(),
         resource_names: names.iter().map(|n| n.to_string()).collect(),
@@ -135,8 +135,8 @@
 #[tokio::test]
 async fn the_services_for_one_type_speak_both_variants() {
     let (_fleet, _discovery, service) = rig().await;
-    let mut cds = ClusterDiscoveryServiceClient::new(channel(&service).await);
-    let mut eds = EndpointDiscoveryServiceClient::new(channel(&service).await);
+    let mut cds = ClusterDiscoveryServiceClient::new(channel(service.xds).await);
+    let mut eds = EndpointDiscoveryServiceClient::new(channel(service.xds).await);
     let one = DiscoveryRequest { resource_names: vec!["cache-nodes".into()], ..DiscoveryRequest::default() };
     let sotw =
         |r: DiscoveryRequest| tokio_stream::StreamExt::chain(tokio_stream::once(r), tokio_stream::pending());
@@ -168,8 +168,8 @@
 async fn a_refusal_is_counted_and_holds_back_nobody_else() {
     let (_fleet, discovery, service) = rig().await;
     let (mut bad, mut good) = (
-        DeltaPeer::new(&service, "bad", subscribe(Kind::Endpoints, &["cache-nodes"])).await,
-        DeltaPeer::new(&service, "good", subscribe(Kind::Endpoints, &["cache-nodes"])).await,
+        DeltaPeer::new(service.xds, "bad", subscribe(Kind::Endpoints, &["cache-nodes"])).await,
+        DeltaPeer::new(service.xds, "good", subscribe(Kind::Endpoints, &["cache-nodes"])).await,
     );
     let (first, second) = (bad.answer().await.expect("an answer"), good.answer().await.expect("an answer"));
     bad.reply(&first, None).await;
@@ -227,8 +227,8 @@
     }
 }
 
-async fn raw(service: &ControlService, message: Vec<u8>) -> Status {
-    let mut grpc = tonic::client::Grpc::new(channel(service).await);
+async fn raw(xds: SocketAddr, message: Vec<u8>) -> Status {
+    let mut grpc = tonic::client::Grpc::new(channel(xds).await);
     grpc.ready().await.expect("ready");
     let path = "/envoy.service.discovery.v3.AggregatedDiscoveryService/DeltaAggregatedResources";
     let asks = tokio_stream::StreamExt::chain(tokio_stream::once(message), tokio_stream::pending());
@@ -245,28 +245,28 @@
 #[tokio::test]
 async fn what_is_malformed_or_too_large_is_an_error_to_that_peer_alone() {
     let (_fleet, discovery, service) = rig().await;
-    let mut good = DeltaPeer::new(&service, "good", subscribe(Kind::Cluster, &[])).await;
+    let mut good = DeltaPeer::new(service.xds, "good", subscribe(Kind::Cluster, &[])).await;
     let first = good.answer().await.expect("an answer");
     good.reply(&first, None).await;
     let mut watching =
-        DeltaPeer::new(&service, "watching", subscribe(Kind::Endpoints, &["cache-nodes"])).await;
+        DeltaPeer::new(service.xds, "watching", subscribe(Kind::Endpoints, &["cache-nodes"])).await;
     let seen = watching.answer().await.expect("an answer");
     watching.reply(&seen, None).await;
 
-    let malformed = raw(&service, vec![0xff; 64]).await;
+    let malformed = raw(service.xds, vec![0xff; 64]).await;
     assert!(matches!(malformed.code(), Code::Internal | Code::InvalidArgument), "{malformed:?}");
     // A length field that promises more than there is.
-    let cut = raw(&service, vec![0x12, 0xff, 0xff, 0xff, 0xff, 0x07, b'a']).await;
+    let cut = raw(service.xds, vec![0x12, 0xff, 0xff, 0xff, 0xff, 0x07, b'a']).await;
     assert!(matches!(cut.code(), Code::Internal | Code::InvalidArgument), "{cut:?}");
-    let oversized = raw(&service, vec![0; 2 << 20]).await;
+    let oversized = raw(service.xds, vec![0; 2 << 20]).await;
     assert!(matches!(oversized.code(), Code::OutOfRange | Code::ResourceExhausted), "{oversized:?}");
     let names: Vec<String> = (0..10_000).map(|i| format!("name-{i}")).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
-    let mut many = DeltaPeer::new(&service, "many", subscribe(Kind::Endpoints, &names)).await;
+    let mut many = DeltaPeer::new(service.xds, "many", subscribe(Kind::Endpoints, &names)).await;
     assert_eq!(many.answer().await.expect_err("too many").code(), Code::ResourceExhausted);
     let unknown =
         DeltaDiscoveryRequest { type_url: "type.googleapis.com/no.Such".into(), ..Default::default() };
-    let mut unknown = DeltaPeer::new(&service, "unknown", unknown).await;
+    let mut unknown = DeltaPeer::new(service.xds, "unknown", unknown).await;
     assert_eq!(unknown.answer().await.expect_err("unknown").code(), Code::InvalidArgument);
 
     let hub = service.hub().clone();
@@ -286,8 +286,9 @@
         members(version, true, &(0..1000).map(node).collect::<Vec<_>>())
     };
     service.tell(list(1));
-    let mut silent = DeltaPeer::new(&service, "silent", subscribe(Kind::Endpoints, &["cache-nodes"])).await;
-    let blind = DeltaPeer::new(&service, "blind", subscribe(Kind::Endpoints, &["cache-nodes"])).await;
+    let mut silent =
+        DeltaPeer::new(service.xds, "silent", subscribe(Kind::Endpoints, &["cache-nodes"])).await;
+    let blind = DeltaPeer::new(service.xds, "blind", subscribe(Kind::Endpoints, &["cache-nodes"])).await;
     for nonce in 1..=60u32 {
         let ack =
             DeltaDiscoveryRequest { response_nonce: nonce.to_string(), ..subscribe(Kind::Endpoints, &[]) };
@@ -295,7 +296,8 @@
         service.tell(list(u64::from(nonce) + 1));
         tokio::time::sleep(Duration::from_millis(2)).await;
     }
-    let mut reading = DeltaPeer::new(&service, "reading", subscribe(Kind::Endpoints, &["cache-nodes"])).await;
+    let mut reading =
+        DeltaPeer::new(service.xds, "reading", subscribe(Kind::Endpoints, &["cache-nodes"])).await;
     let newest = reading.answer().await.expect("an answer");
     assert!(newest.system_version_info.ends_with(&service.hub().store().seq().to_string()), "the newest");
     let answers = service.hub().counters.answers.load(Relaxed);
@@ -403,7 +405,7 @@
 #[tokio::test]
 async fn what_is_subscribed_to_may_change_while_an_answer_is_on_its_way() {
     let (_fleet, discovery, service) = rig().await;
-    let mut peer = DeltaPeer::new(&service, "p", subscribe(Kind::Endpoints, &["cache-nodes"])).await;
+    let mut peer = DeltaPeer::new(service.xds, "p", subscribe(Kind::Endpoints, &["cache-nodes"])).await;
     let hub = service.hub().clone();
     until("an answer is on its way", || hub.counters.answers.load(Relaxed) == 1).await;
     let unsubscribe = vec!["cache-nodes".to_owned()];
@@ -438,16 +440,20 @@
         .expect("started");
     let mut held = Vec::new();
     for i in 0..2 {
-        let mut peer = DeltaPeer::new(&service, &i.to_string(), subscribe(Kind::Cluster, &[])).await;
+        let mut peer = DeltaPeer::new(service.xds, &i.to_string(), subscribe(Kind::Cluster, &[])).await;
         peer.answer().await.expect("an answer");
         held.push(peer);
     }
-    let mut client = AggregatedDiscoveryServiceClient::new(channel(&service).await);
+    let mut client = AggregatedDiscoveryServiceClient::new(channel(service.xds).await);
     let refused = client.delta_aggregated_resources(tokio_stream::once(subscribe(Kind::Cluster, &[]))).await;
     assert_eq!(refused.expect_err("one too many").code(), Code::ResourceExhausted);
     // A place that is given up is there for the next.
     drop(held.pop());
     let hub = service.hub().clone();
     until("the place is free", || hub.open_streams() == 1).await;
-    DeltaPeer::new(&service, "next", subscribe(Kind::Cluster, &[])).await.answer().await.expect("an answer");
+    DeltaPeer::new(service.xds, "next", subscribe(Kind::Cluster, &[]))
+        .await
+        .answer()
+        .await
+        .expect("an answer");
 }
--- a/tests/control/program.rs
+++ b/tests/control/program.rs
@@ -66,7 +66,7 @@
     fn new(args: &[&str]) -> Self {
         let mut command = rushquay(&["control", "--listen", "127.0.0.1:0", "--admin", "127.0.0.1:0"]);
         let mut child =
-            command.args(args).stdout(Stdio::piped()).stderr(Stdio::null()).spawn().expect("started");
+            command.args(args).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().expect("started");
         let mut line = String::new();
         BufReader::new(child.stdout.take().expect("output")).read_line(&mut line).expect("a line");
         let mut parts = line.trim().split(' ');
@@ -163,6 +163,24 @@
     drop(running);
 }
 
+/// Operators look for the node that refuses.
+#[tokio::test]
+async fn a_refusal_is_logged_with_the_id_of_the_node() {
+    let folder = Folder::new("refusal");
+    let file = folder.write("nodes.json", &list(1, "ready"));
+    let mut running = Running::new(&["--nodes", file.to_str().expect("a path")]);
+    let xds = running.xds.parse().expect("an address");
+    let ask = peers::subscribe(rushquay_xds::Kind::Cluster, &[]);
+    let mut peer = peers::DeltaPeer::new(xds, "proxy-7.vadodara", ask).await;
+    let answer = peer.answer().await.expect("an answer");
+    peer.reply(&answer, Some("it isn't liked")).await;
+    let log = BufReader::new(running.child.stderr.take().expect("a log"));
+    let line =
+        tokio::task::spawn_blocking(move || log.lines().map_while(Result::ok).next()).await.expect("read");
+    let line = line.expect("a line");
+    assert!(line.contains("proxy-7.vadodara") && line.contains("it isn't liked"), "{line}");
+}
+
 #[test]
 fn listening_beyond_loopback_without_tls_is_refused() {
     let folder = Folder::new("beyond");
@@ -257,3 +275,29 @@
     assert!(done.expect("kill").success());
     assert!(child.wait().expect("ended").success());
 }
+
+/// The program as a proxy, subscribed by either way of naming the file.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_proxy_subscribes_as_its_file_says() {
+    let folder = Folder::new("subscribed");
+    let fleet = nodes(&["a"]).await;
+    let discovery = Discovery::start(1, &ready(&fleet)).await;
+    let service = control(discovery.addr).await;
+    let config = folder.write("proxy.json", &proxy_config("by-file", discovery.addr, &[], &[]).to_string());
+    let file = folder.write("subscription.toml", &format!("addresses = [\"{}\"]\n", service.xds));
+    let file = file.to_str().expect("a path");
+    for (args, variable) in [(vec!["proxy", "--control", file], None), (vec![], Some(file))] {
+        let mut command = rushquay(&args);
+        command.env("PROXY_CONFIG", &config).stderr(Stdio::null());
+        if let Some(file) = variable {
+            command.env("PROXY_CONTROL", file);
+        }
+        let mut child = command.spawn().expect("started");
+        all_taken(&service, 1).await;
+        assert_eq!(service.hub().subscribers()[0].node, "by-file");
+        child.kill().expect("ended");
+        child.wait().expect("ended");
+        let hub = service.hub().clone();
+        until("it has gone", || hub.subscribers().is_empty()).await;
+    }
+}
