Relay TCP and UDP under fault scripts, with commands, traces and exact replay

Change: crates/fault-relay, a library and the binary rushquay-fault: listeners that may be shut or mute, connections, datagrams, commands over HTTP on loopback, traces to a file, replay also in the order between connections. The link that tests of the control service cut is now this relay; the one in crates/standins is gone.

--- /dev/null
+++ b/crates/fault-relay/src/ledger.rs
@@ -0,0 +1,43 @@
+//! The order of deeds in a replay that keeps it.
+
+use std::collections::BTreeSet;
+
+/// Whose turn it is. No I/O.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    next: u64,
+    /// Taken ahead of others: by connections that have ended, and will not act.
+    ahead: BTreeSet<u64>,
+}
+
+impl Ledger {
+    /// A turn was taken, or never will be.
+    pub fn took(&mut self, turn: u64) {
+        if turn >= self.next {
+            self.ahead.insert(turn);
+        }
+        while self.ahead.remove(&self.next) {
+            self.next += 1;
+        }
+    }
+
+    /// The next turn.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Danger: a connection that ended without its deed would hold up all others for good.
+    #[test]
+    fn turns_of_the_dead_are_passed_over() {
+        let mut ledger = Ledger::default();
+        for (turn, next) in [(1, 0), (3, 0), (0, 2), (0, 2), (2, 4)] {
+            ledger.took(turn);
+            assert_eq!(ledger.next(), next, "after {turn}");
+        }
+    }
+}
--- a/crates/fault/src/datagram.rs
+++ b/crates/fault/src/datagram.rs
@@ -99,7 +99,15 @@
                 _ => continue,
             }
             let (listener, connection) = (self.listener.clone(), self.ordinal);
-            self.performed.push(Performed { listener, connection, lane, offset: number, other: None, rule, deed });
+            self.performed.push(Performed {
+                listener,
+                connection,
+                lane,
+                offset: number,
+                other: None,
+                rule,
+                deed,
+            });
         }
         for held in &mut self.held[at] {
             if let Some((left, _)) = &mut held.behind {
--- a/crates/fault/src/machine/mod.rs
+++ b/crates/fault/src/machine/mod.rs
@@ -224,8 +224,7 @@
 
     /// Whether single bytes of this direction matter.
     fn watched(&self, lane: Lane) -> bool {
-        self.lanes[lane.index()].changes()
-            || self.rules.iter().any(|r| r.watches(lane) || r.needs_http1())
+        self.lanes[lane.index()].changes() || self.rules.iter().any(|r| r.watches(lane) || r.needs_http1())
     }
 
     fn byte(&mut self, lane: Lane, byte: u8, now: Nanos) {
@@ -521,7 +520,8 @@
             self.rules.iter_mut().filter(|r| r.name == name).for_each(|r| r.done = true);
         }
         for shared in &rules.rules {
-            let known = |r: &Armed| matches!(&r.source, armed::Source::Rule(s) if std::sync::Arc::ptr_eq(s, shared));
+            let known =
+                |r: &Armed| matches!(&r.source, armed::Source::Rule(s) if std::sync::Arc::ptr_eq(s, shared));
             if shared.rule.matches(&self.listener, self.ordinal) && !self.rules.iter().any(known) {
                 let mut armed = Armed::rule(shared);
                 armed.done = armed.at == At::Connect;
--- a/crates/fault/src/machine/out.rs
+++ b/crates/fault/src/machine/out.rs
@@ -84,7 +84,8 @@
             return;
         }
         self.held += bytes.len();
-        if let Some(Item::Bytes { data, origin: first, natural: true, due: then, .. }) = self.items.back_mut() {
+        if let Some(Item::Bytes { data, origin: first, natural: true, due: then, .. }) = self.items.back_mut()
+        {
             if natural && *then == due && *first + data.len() as u64 == origin && data.len() < HELD_MOST {
                 data.extend_from_slice(bytes);
                 return;
--- a/crates/fault/src/places/http1.rs
+++ b/crates/fault/src/places/http1.rs
@@ -85,8 +85,7 @@
         let here = self.offset;
         self.offset += 1;
         let number = self.messages;
-        let mut tell =
-            |offset, part, number| found(Found { offset, part: Part::Http(part, number) });
+        let mut tell = |offset, part, number| found(Found { offset, part: Part::Http(part, number) });
         match self.at {
             At::Opaque | At::Rest => {}
             At::Between => {
--- a/crates/fault/src/script/mod.rs
+++ b/crates/fault/src/script/mod.rs
@@ -102,7 +102,7 @@
     pub fn is(self, number: u64) -> bool {
         match self {
             Nth::Only(n) => n == number,
-            Nth::Every(n) => number % n == 0,
+            Nth::Every(n) => number.is_multiple_of(n),
         }
     }
 }
--- a/crates/fault/src/script/read.rs
+++ b/crates/fault/src/script/read.rs
@@ -189,7 +189,11 @@
             let at = raw.span().start;
             let raw = raw.into_inner();
             if raw.name.is_empty() || !names.insert(raw.name.clone()) {
-                return Err(Fault(at, "listener.name".into(), "expected a name that no other listener has".into()));
+                return Err(Fault(
+                    at,
+                    "listener.name".into(),
+                    "expected a name that no other listener has".into(),
+                ));
             }
             let address = |of: &Spanned<String>, field: &str| -> Checked<SocketAddr> {
                 let what = || format!("expected an address IP:PORT, found {:?}", of.get_ref());
@@ -273,7 +277,8 @@
         None => told.get_ref().trim().parse().ok().map(|n: u64| (n, n)),
     };
     read.filter(|(first, last)| *first >= 1 && first <= last).ok_or_else(|| {
-        let what = format!("expected ordinals from 1, as \"3\", \"2..\" or \"2..5\", found {:?}", told.get_ref());
+        let what =
+            format!("expected ordinals from 1, as \"3\", \"2..\" or \"2..5\", found {:?}", told.get_ref());
         Fault(told.span().start, "rule.connections".into(), what)
     })
 }
@@ -314,7 +319,9 @@
         only_with(self.nth.as_ref().map(|s| s.span().start), "nth", &many)?;
         only_with(self.every.as_ref().map(|s| s.span().start), "every", &many)?;
         let nth = match (&self.nth, &self.every) {
-            (Some(_), Some(every)) => return fault(every.span().start, "every", "expected nth or every, not both"),
+            (Some(_), Some(every)) => {
+                return fault(every.span().start, "every", "expected nth or every, not both")
+            }
             (Some(n), _) if *n.get_ref() == 0 => return fault(n.span().start, "nth", "expected 1 or more"),
             (_, Some(n)) if *n.get_ref() == 0 => return fault(n.span().start, "every", "expected 1 or more"),
             (Some(n), _) => Nth::Only(*n.get_ref()),
@@ -342,7 +349,8 @@
             "datagram" => Ok(At::Datagram(nth)),
             "offset" => {
                 let offset = self.offset.unwrap_or(0).checked_add_signed(plus);
-                let offset = offset.ok_or_else(|| Fault(plus_at, "rule.at.plus".into(), "lies before the stream".into()))?;
+                let offset = offset
+                    .ok_or_else(|| Fault(plus_at, "rule.at.plus".into(), "lies before the stream".into()))?;
                 Ok(At::Place(Place::Offset(offset), nth, 0))
             }
             "text" => {
@@ -351,7 +359,11 @@
                     return fault(text.span().start, "text", "expected a text that is not empty");
                 }
                 if plus < 0 {
-                    return fault(plus_at, "plus", "expected 0 or more with text: edge = \"start\" acts before it");
+                    return fault(
+                        plus_at,
+                        "plus",
+                        "expected 0 or more with text: edge = \"start\" acts before it",
+                    );
                 }
                 let start = match self.edge.as_ref().map(|e| (e.get_ref().as_str(), e.span().start)) {
                     None | Some(("end", _)) => false,
@@ -406,8 +418,16 @@
 /// RFC 9113, 6.
 fn frame_type(told: Spanned<FrameType>) -> Checked<u8> {
     const NAMES: [&str; 10] = [
-        "DATA", "HEADERS", "PRIORITY", "RST_STREAM", "SETTINGS", "PUSH_PROMISE", "PING", "GOAWAY",
-        "WINDOW_UPDATE", "CONTINUATION",
+        "DATA",
+        "HEADERS",
+        "PRIORITY",
+        "RST_STREAM",
+        "SETTINGS",
+        "PUSH_PROMISE",
+        "PING",
+        "GOAWAY",
+        "WINDOW_UPDATE",
+        "CONTINUATION",
     ];
     let at = told.span().start;
     match told.into_inner() {
@@ -459,9 +479,8 @@
         if [self.half_close, self.freeze, self.refuse, self.stall].contains(&Some(false)) {
             return fault(act, "expected true");
         }
-        let figure = [
-            self.bytes_per_s, self.garble, self.drop, self.duplicate, self.split, self.merge, self.reorder,
-        ];
+        let figure =
+            [self.bytes_per_s, self.garble, self.drop, self.duplicate, self.split, self.merge, self.reorder];
         if figure.contains(&Some(0)) {
             return fault(act, "expected 1 or more");
         }
@@ -514,11 +533,19 @@
     if udp {
         let fine = matches!(
             act,
-            Act::Pause { .. } | Act::Drop { .. } | Act::Duplicate { .. } | Act::Garble { .. } | Act::Reorder { .. }
+            Act::Pause { .. }
+                | Act::Drop { .. }
+                | Act::Duplicate { .. }
+                | Act::Garble { .. }
+                | Act::Reorder { .. }
         );
         return match (at, fine && !seen) {
             (At::Datagram(_), true) => Ok(()),
-            (At::Window(..), _) if matches!(act, Act::Listener(ListenerState::Open | ListenerState::Mute)) => Ok(()),
+            (At::Window(..), _)
+                if matches!(act, Act::Listener(ListenerState::Open | ListenerState::Mute)) =>
+            {
+                Ok(())
+            }
             _ => no("at a datagram: expected pause_ms, drop, duplicate, garble or reorder, and no seen"),
         };
     }
--- a/crates/fault/tests/common/mod.rs
+++ b/crates/fault/tests/common/mod.rs
@@ -1,7 +1,9 @@
 //! A machine between two played ends, in virtual time: reads are cut as the caller says.
 #![allow(dead_code)]
 
-use rushquay_fault::{Connection, Cut, Lane, Nanos, Performed, Plan, RuleSet, Script, Transmit, Trace, MILLI};
+use rushquay_fault::{
+    Connection, Cut, Lane, Nanos, Performed, Plan, RuleSet, Script, Trace, Transmit, MILLI,
+};
 
 /// What came of a connection.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/fault/tests/machine.rs
+++ b/crates/fault/tests/machine.rs
@@ -132,7 +132,9 @@
         ("stall = true", Opening::Stall),
         ("pause_ms = 20", Opening::Lead(20 * MILLI)),
     ] {
-        let rules = rules(&format!("[[rule]]\nname = 'r'\nconnections = '2..3'\nat = {{ connect = true }}\ndo = {{ {act} }}"));
+        let rules = rules(&format!(
+            "[[rule]]\nname = 'r'\nconnections = '2..3'\nat = {{ connect = true }}\ndo = {{ {act} }}"
+        ));
         assert_eq!(fresh(&rules, 1).opening(), Opening::Lead(0));
         let mut second = fresh(&rules, 2);
         assert_eq!(second.opening(), opening);
@@ -235,7 +237,9 @@
     assert_eq!(drain(&mut c, Lane::Up, 0), b"");
     c.offer(Lane::Up, b"abc", 0);
     assert_eq!(drain(&mut c, Lane::Up, 5 * MILLI), b"abc");
-    rules.add(common::rules("[[rule]]\nname = 'f'\nat = { from_ms = 0 }\ndo = { freeze = true }").rules().cloned());
+    rules.add(
+        common::rules("[[rule]]\nname = 'f'\nat = { from_ms = 0 }\ndo = { freeze = true }").rules().cloned(),
+    );
     c.update(&rules);
     c.tick(6 * MILLI);
     c.offer(Lane::Up, b"def", 6 * MILLI);
--- a/crates/fault/tests/places.rs
+++ b/crates/fault/tests/places.rs
@@ -11,7 +11,8 @@
 
 /// The stream with a mark put in at the place.
 fn marked(lane: &str, at: &str, up: &[u8], down: &[u8]) -> String {
-    let rule = format!("[[rule]]\nname = \"m\"\nlane = \"{lane}\"\nat = {{ {at} }}\ndo = {{ insert = \"|\" }}");
+    let rule =
+        format!("[[rule]]\nname = \"m\"\nlane = \"{lane}\"\nat = {{ {at} }}\ndo = {{ insert = \"|\" }}");
     let run = whole(fresh(&rules(&rule), 1), up, down);
     String::from_utf8_lossy(&run.out[usize::from(lane == "down")]).into_owned()
 }
@@ -47,7 +48,8 @@
 #[test]
 fn an_answer_to_head_ends_with_its_head() {
     let asked = "HEAD /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n";
-    let answered = "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    let answered =
+        "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
     let got = marked("down", "http = 'head', nth = 2", asked.as_bytes(), answered.as_bytes());
     assert_eq!(got, mark(answered, "HTTP", 1));
 }
@@ -82,7 +84,8 @@
 
 #[test]
 fn values_of_resp() {
-    let down = "+OK\r\n$5\r\nhello\r\n*2\r\n:1\r\n%1\r\n+k\r\n$1\r\nv\r\n$-1\r\n*0\r\n|1\r\n+a\r\n+b\r\n_\r\n#t\r\n";
+    let down =
+        "+OK\r\n$5\r\nhello\r\n*2\r\n:1\r\n%1\r\n+k\r\n$1\r\nv\r\n$-1\r\n*0\r\n|1\r\n+a\r\n+b\r\n_\r\n#t\r\n";
     let at = |at: &str| marked("down", at, b"x", down.as_bytes());
     assert_eq!(at("resp = 'reply', nth = 2"), mark(down, "$5", 0));
     assert_eq!(at("resp = 'length'"), mark(down, "5\r\n", 0));
@@ -115,13 +118,15 @@
 /// A hard case: exactly between the request's last byte and the answer's first, and one byte either side.
 #[test]
 fn a_cut_between_question_and_answer() {
-    let (up, down) = ("PUT /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv");
+    let (up, down) =
+        ("PUT /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv");
     for (lane, at, sent) in [
         ("up", "http = 'end', plus = -1", (up.len() - 1, 0)),
         ("up", "http = 'end'", (up.len(), 0)),
         ("down", "http = 'head', plus = 1", (up.len(), 1)),
     ] {
-        let rule = format!("[[rule]]\nname = \"m\"\nlane = \"{lane}\"\nat = {{ {at} }}\ndo = {{ cut = \"rst\" }}");
+        let rule =
+            format!("[[rule]]\nname = \"m\"\nlane = \"{lane}\"\nat = {{ {at} }}\ndo = {{ cut = \"rst\" }}");
         let run = whole(fresh(&rules(&rule), 1), up.as_bytes(), down.as_bytes());
         assert_eq!((run.out[0].len(), run.out[1].len()), sent, "{lane} {at}");
         assert_eq!(run.cut, Some(Cut::Rst));
--- a/crates/fault/tests/script.rs
+++ b/crates/fault/tests/script.rs
@@ -23,7 +23,12 @@
         ("at = { http = 'end', plus = -65 }\ndo = { cut = 'fin' }", 4, "rule.at.plus", "-64"),
         ("at = { offset = 2, plus = -3 }\ndo = { cut = 'fin' }", 4, "rule.at.plus", "before the stream"),
         ("at = { text = '' }\ndo = { cut = 'fin' }", 4, "rule.at.text", "not empty"),
-        ("at = { http2 = 'frame', frame_type = 'DATUM' }\ndo = { cut = 'fin' }", 4, "rule.at.frame_type", "SETTINGS"),
+        (
+            "at = { http2 = 'frame', frame_type = 'DATUM' }\ndo = { cut = 'fin' }",
+            4,
+            "rule.at.frame_type",
+            "SETTINGS",
+        ),
         ("at = { from_ms = 5, to_ms = 5 }\ndo = { freeze = true }", 4, "rule.at.to_ms", "more than"),
         ("at = { offset = 1 }\nchance = 1.5\ndo = { cut = 'fin' }", 5, "rule.chance", "0 to 1"),
         ("at = { offset = 1 }\nconnections = '0..3'\ndo = { cut = 'fin' }", 5, "rule.connections", "from 1"),
@@ -40,14 +45,16 @@
         assert_eq!((l, f.as_str()), (line, field), "{rest}: {w}");
         assert!(w.contains(what), "{rest}: {w}");
     }
-    let (line, field, _) = fault("[[rule]]\nname = 'r'\nlisteners = ['a', 'b']\nat = { offset = 1 }\ndo = { drop = 1 }");
+    let (line, field, _) =
+        fault("[[rule]]\nname = 'r'\nlisteners = ['a', 'b']\nat = { offset = 1 }\ndo = { drop = 1 }");
     assert_eq!((line, field.as_str()), (3, "rule.listeners"));
     let twice = "[[rule]]\nname = 'r'\nlisteners = ['a']\nat = { offset = 1 }\ndo = { drop = 1 }\n".repeat(2);
     let (line, field, _) = fault(&twice);
     assert_eq!((line, field.as_str()), (6, "rule.name"));
     let (_, field, what) = fault("[[rule]]\nname = 'r'\nat = { offset = 1 }\ndo = { drop = 1 }");
     assert!(field == "rule.do" && what.contains("name its listeners"), "{field} {what}");
-    let e = Script::parse("[[listener]]\nname = 'a'\nlisten = 'here'\ntarget = '127.0.0.1:1'").expect_err("no address");
+    let e = Script::parse("[[listener]]\nname = 'a'\nlisten = 'here'\ntarget = '127.0.0.1:1'")
+        .expect_err("no address");
     assert_eq!(e.to_string(), "line 3: listener.listen: expected an address IP:PORT, found \"here\"");
 }
 
@@ -102,7 +109,11 @@
 
 #[test]
 fn datagrams_are_replayed() {
-    for rule in ["chance = 0.4\ndo = { reorder = 2 }", "chance = 0.5\ndo = { garble = 1 }", "chance = 0.5\ndo = { drop = 1 }"] {
+    for rule in [
+        "chance = 0.4\ndo = { reorder = 2 }",
+        "chance = 0.5\ndo = { garble = 1 }",
+        "chance = 0.5\ndo = { drop = 1 }",
+    ] {
         let (mut first, _) = flow(rule);
         let got = ten(&mut first);
         let performed = first.take_performed();
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,16 +1,14 @@
 //! Stand-ins on loopback for what surrounds the program: cache nodes and an origin ([`Node`]), [`Discovery`], clients
-//! ([`Load`]), and a [`Link`] that can be cut. For the demo and the tests; all ports are free ones.
+//! ([`Load`]). For the demo and the tests; all ports are free ones.
 #![forbid(unsafe_code)]
 
 mod config;
 mod discovery;
-mod link;
 mod load;
 mod node;
 
 pub use config::proxy_config;
 pub use discovery::{entry, Discovery};
-pub use link::Link;
 pub use load::{Load, Outcomes};
 pub use node::Node;
 
--- a/tests/control/catching_up.rs
+++ b/tests/control/catching_up.rs
@@ -1,7 +1,8 @@
 //! A proxy that missed something.
 
+use super::link::Link;
 use super::*;
-use rushquay_standins::{Link, Load};
+use rushquay_standins::Load;
 
 /// Missed: a node drained, one drained, removed and back under its id with a new start, one removed for good, and one
 /// that is new.
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -2,6 +2,7 @@
 
 mod catching_up;
 mod fleet;
+mod link;
 mod peers;
 mod program;
 mod restarts;
--- a/tests/control/restarts.rs
+++ b/tests/control/restarts.rs
@@ -1,7 +1,7 @@
 //! Control services that restart, are old, or are gone.
 
+use super::link::Link;
 use super::*;
-use rushquay_standins::Link;
 
 struct Rig {
     fleet: Vec<Node>,
