--- a/crates/books/src/lib.rs
+++ b/crates/books/src/lib.rs
@@ -203,6 +203,16 @@
         (owed.count(), answers)
     }
 
+    /// The longest that a request waited for its final answer beyond its client's time, in nanoseconds; 0 where none did.
+    pub fn latest(&self) -> Nanos {
+        let late = |r: &Request| {
+            let (asked, _, within) = r.asked.filter(|_| !r.excused)?;
+            let at = r.finals.iter().map(|(at, ..)| *at).min()?;
+            Some(at.saturating_sub(asked + within))
+        };
+        self.requests.values().filter_map(late).max().unwrap_or(0)
+    }
+
     /// How many requests this node ran.
     pub fn ran_at(&self, node: &str) -> usize {
         self.requests.values().flat_map(|r| &r.ran).filter(|(_, n)| n == node).count()
--- a/crates/control-service/src/discovery.rs
+++ b/crates/control-service/src/discovery.rs
@@ -15,10 +15,12 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-const CONNECT: Duration = Duration::from_secs(2);
-const HOLD: Duration = Duration::from_secs(20);
-/// How long discovery may take beyond the wait that it was asked for.
-const GRACE: Duration = Duration::from_secs(2);
+const CONNECT: Duration = Duration::from_secs(1);
+/// Danger: a connection whose other end vanished says nothing, as a watch does that has nothing to say. For as long as
+/// it is asked to wait the service, and all its subscribers with it, would hear of no drain.
+const HOLD: Duration = Duration::from_secs(2);
+/// How long discovery may take beyond the wait that it was asked for, if any.
+const GRACE: Duration = Duration::from_millis(1500);
 /// The first wait after a failure, and the longest.
 const AGAIN: (u64, u64) = (100_000_000, 2_000_000_000);
 /// A list is at most this long; ten thousand entries take half of it.
@@ -47,7 +49,8 @@
     let driver = tokio::spawn(connection);
     let mut cursor = Cursor::default();
     let done = loop {
-        match timeout(HOLD + GRACE, ask(&mut sender, addr, cursor)).await {
+        let hold = cursor.version().map_or(Duration::ZERO, |_| HOLD);
+        match timeout(hold + GRACE, ask(&mut sender, addr, cursor)).await {
             Err(_) => break "no answer in time".to_owned(),
             Ok(Err(why)) => break why,
             Ok(Ok(list)) => {
--- a/crates/fault-relay/src/connection.rs
+++ b/crates/fault-relay/src/connection.rs
@@ -257,6 +257,7 @@
                 Lane::Up => &self.far,
                 Lane::Down => &self.near,
             };
+            let offset = self.machine.counts(lane).1;
             let n = match self.machine.transmit(lane, now) {
                 Transmit::Nothing => return Ok(wrote),
                 Transmit::Finish => {
@@ -266,7 +267,15 @@
                     continue;
                 }
                 Transmit::Write(bytes) => match sink.try_write(bytes) {
-                    Ok(n) => n,
+                    Ok(n) => {
+                        if let Some(tap) = &self.shared.tap {
+                            let (listener, connection) = (self.listener, self.ordinal);
+                            let passage =
+                                Passage { listener, connection, lane, offset, when: Instant::now() };
+                            tap.went(passage, &bytes[..n]);
+                        }
+                        n
+                    }
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                         *blocked = true;
                         return Ok(wrote);
--- a/crates/fault-relay/src/lib.rs
+++ b/crates/fault-relay/src/lib.rs
@@ -21,7 +21,7 @@
 mod tap;
 mod udp;
 
-pub use rushquay_fault::{Cut, Lane, ListenerState, Script, Trace};
+pub use rushquay_fault::{Cut, Deed, Lane, ListenerState, Performed, Script, Trace};
 pub use shared::Live;
 pub use tap::{Passage, Tap};
 
--- a/crates/fault-relay/src/tap.rs
+++ b/crates/fault-relay/src/tap.rs
@@ -1,4 +1,4 @@
-//! A look at what comes in.
+//! A look at what comes in and goes out.
 
 use rushquay_fault::Lane;
 use std::time::Instant;
@@ -18,11 +18,14 @@
     pub when: Instant,
 }
 
-/// Sees what comes in, before anything is done to it. It is called on the relay's path and must not wait.
+/// Sees what comes in, before anything is done to it, and what goes out. It is called on the relay's path and must not wait.
 pub trait Tap: Send + Sync {
     /// Bytes were read.
     fn came(&self, passage: Passage<'_>, bytes: &[u8]);
 
+    /// Bytes were written: what is left of those that came, and what was put in. The offset counts bytes that came.
+    fn went(&self, _passage: Passage<'_>, _bytes: &[u8]) {}
+
     /// The direction has ended, in order or not.
     fn ended(&self, _passage: Passage<'_>) {}
 }
--- a/crates/xds-grpc/src/client.rs
+++ b/crates/xds-grpc/src/client.rs
@@ -14,8 +14,8 @@
 const CONNECT: Duration = Duration::from_secs(2);
 /// A server that has said nothing for so long is asked whether it is there. Danger: a machine that vanished says
 /// nothing, and nothing would be learned until TCP gives up.
-const KEEPALIVE: Duration = Duration::from_secs(3);
-const KEEPALIVE_WITHIN: Duration = Duration::from_secs(3);
+const KEEPALIVE: Duration = Duration::from_secs(2);
+const KEEPALIVE_WITHIN: Duration = Duration::from_secs(1);
 
 /// Where and as whom to connect.
 #[derive(Clone)]
--- a/crates/xds/src/client/mod.rs
+++ b/crates/xds/src/client/mod.rs
@@ -4,8 +4,10 @@
 //! sends what has changed alone; until then all that was taken stands.
 
 mod backoff;
+mod outage;
 
 pub use backoff::{Backoff, Retry};
+pub use outage::Outage;
 
 use crate::server::{DeltaRequest, SotwRequest, Variant};
 use crate::{Kind, Pattern, KINDS};
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -5,6 +5,7 @@
 use super::nodes::NodeList;
 use rushquay_nodes::MergeLimits;
 use rushquay_resources::{Follow, FollowConfig};
+use rushquay_xds::client::Outage;
 use rushquay_xds_grpc::{run, ClientOptions, Notice, Tls, TlsFiles};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -182,9 +183,15 @@
         };
         // Since when the stream has told nothing; `None`: it is not open, or has had its say.
         let quiet = std::cell::Cell::new(None::<Instant>);
+        let mut outage = Outage::default();
         let following = run(options, &mut follow, chance, |_: &Follow, notice| match notice {
             Notice::Connected(addr) => {
-                super::log(format_args!("control service at {addr}: connected"));
+                match outage.over() {
+                    None => super::log(format_args!("control service at {addr}: connected")),
+                    Some(n) => {
+                        super::log(format_args!("control service at {addr}: connected after {n} failures"))
+                    }
+                }
                 quiet.set(Some(Instant::now()));
             }
             Notice::News((process, news)) => {
@@ -193,7 +200,11 @@
             }
             Notice::Refused(why) => super::log(format_args!("control service: refused an answer: {why}")),
             Notice::Lost(addr, why) => {
-                super::log(format_args!("control service at {addr}: {why}; the list stays as it is"));
+                if let Some(n) = outage.failed(&format!("{addr}: {why}")) {
+                    super::log(format_args!(
+                        "control service at {addr}: {why}; the list stays as it is (failure {n})"
+                    ));
+                }
                 quiet.set(None);
                 nodes.control_lost();
             }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -10,6 +10,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use rushquay_nodes::{Cursor, Members};
+use rushquay_xds::client::Outage;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,6 +40,7 @@
     sender: Option<SendRequest<Body>>,
     /// At an address that has not answered yet: the wait before the next call.
     again: Option<Duration>,
+    outage: Outage,
 }
 
 impl Discovery {
@@ -48,7 +50,15 @@
         let hold =
             Duration::from_nanos(must_ask_in / 2).clamp(Duration::from_secs(1), Duration::from_secs(20));
         let descriptors = Descriptors::new(DESCRIPTORS);
-        Discovery { addr, cursor: Cursor::at(version), hold, descriptors, sender: None, again: None }
+        Discovery {
+            addr,
+            cursor: Cursor::at(version),
+            hold,
+            descriptors,
+            sender: None,
+            again: None,
+            outage: Outage::default(),
+        }
     }
 
     /// Starts a watch each time that the module asks for one, and follows it until it breaks. An address that comes
@@ -89,10 +99,15 @@
                 Ok(members) => {
                     self.cursor.saw(&members);
                     self.again = None;
+                    if let Some(n) = self.outage.over() {
+                        super::log(format_args!("discovery at {} answers after {n} failures", self.addr));
+                    }
                     nodes.discovered(&members);
                 }
                 Err(e) => {
-                    super::log(format_args!("discovery at {}: {e}", self.addr));
+                    if let Some(n) = self.outage.failed(&e) {
+                        super::log(format_args!("discovery at {}: {e} (failure {n})", self.addr));
+                    }
                     self.sender = None;
                     // Danger: the module's waits after a failure are made for a discovery that is down, and are
                     // longer than the time in which the news of a new one must be known.
