--- a/crates/control-service/src/admin.rs
+++ b/crates/control-service/src/admin.rs
@@ -111,8 +111,13 @@
             "lag_ms": millis(s.lag), "kinds": kinds,
         })
     };
+    let state = shared.keeper.as_ref().map(|keeper| {
+        let state = keeper.state();
+        json!({"path": keeper.path, "fault": state.fault, "version": state.version, "writes": state.writes})
+    });
     json!({
         "incarnation": incarnation,
+        "state": state,
         "open": open,
         "seq": seq,
         "source": {
@@ -151,6 +156,15 @@
         "1 while the node list's source can be read.",
         &one(f64::from(u8::from(source.fault.is_none()))),
     );
+    if let Some(keeper) = &shared.keeper {
+        let up = keeper.state().fault.is_none();
+        metric(
+            "state_up",
+            "gauge",
+            "1 while all that is known is kept on disk.",
+            &one(f64::from(u8::from(up))),
+        );
+    }
     metric("lists_total", "counter", "Lists taken.", &one(source.lists as f64));
     metric("lists_refused_total", "counter", "Lists that were not obeyed.", &one(source.refused as f64));
     metric("changes_total", "counter", "Changes of resources.", &one(shared.hub.store().seq() as f64));
--- /dev/null
+++ b/crates/control-service/src/keeper.rs
@@ -0,0 +1,166 @@
+//! Keeps what the service knows in a file, on a thread of its own: a disk that is slow or full holds nobody up.
+
+use crate::log;
+use rushquay_nodes::Stated;
+use rushquay_state::{Change, Saved, StateError, StateStore};
+use rushquay_xds::client::Outage;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// A write that failed is tried again after this.
+const AGAIN: Duration = Duration::from_secs(1);
+
+/// How the file stands, for the admin page.
+#[derive(Clone, Debug, Default)]
+pub struct KeeperState {
+    /// Why nothing is kept, or not all; `None`: all is.
+    pub fault: Option<String>,
+    /// Version of the list last kept.
+    pub version: Option<u64>,
+    /// Transactions.
+    pub writes: u64,
+}
+
+#[derive(Default)]
+struct Slot {
+    /// The newest that is to be kept; what it replaced need not be.
+    next: Option<(u64, Vec<Stated>)>,
+    ending: bool,
+    state: KeeperState,
+}
+
+#[derive(Default)]
+struct Shared {
+    slot: Mutex<Slot>,
+    changed: Condvar,
+}
+
+/// The keeper of a file. Dropping it writes what is still to be written.
+pub struct Keeper {
+    /// The file.
+    pub path: PathBuf,
+    shared: Arc<Shared>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Slot> {
+        self.slot.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Keeper {
+    /// Opens the file and reads what it holds. One that can't be used is named in a line; the service then runs from
+    /// memory, and the file stays as it is.
+    pub fn open(path: &Path) -> (Keeper, Saved) {
+        let shared = Arc::new(Shared::default());
+        let opened = StateStore::open(path).and_then(|store| {
+            let saved = store.read()?;
+            Ok((store, saved))
+        });
+        let (thread, saved) = match opened {
+            Ok((store, saved)) => {
+                shared.lock().state.version = saved.version;
+                let known = saved.nodes.iter().map(|s| (s.member.id.clone(), s.clone())).collect();
+                let (own, version) = (shared.clone(), saved.version);
+                (Some(std::thread::spawn(move || keep(&store, &own, known, version))), saved)
+            }
+            Err(e) => {
+                log(format!("state: {e}; running from memory"));
+                shared.lock().state.fault = Some(e.to_string());
+                (None, Saved::default())
+            }
+        };
+        (Keeper { path: path.to_owned(), shared, thread }, saved)
+    }
+
+    /// Has this kept, soon.
+    pub fn keep(&self, version: u64, nodes: Vec<Stated>) {
+        if self.thread.is_some() {
+            self.shared.lock().next = Some((version, nodes));
+            self.shared.changed.notify_one();
+        }
+    }
+
+    /// How the file stands.
+    pub fn state(&self) -> KeeperState {
+        self.shared.lock().state.clone()
+    }
+}
+
+impl Drop for Keeper {
+    fn drop(&mut self) {
+        self.shared.lock().ending = true;
+        self.shared.changed.notify_one();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Writes what has changed against what is known to be kept, until the end.
+fn keep(store: &StateStore, shared: &Shared, mut known: BTreeMap<String, Stated>, mut version: Option<u64>) {
+    let mut outage = Outage::default();
+    loop {
+        let (next, ending) = {
+            let mut slot = shared.lock();
+            while slot.next.is_none() && !slot.ending {
+                slot = shared.changed.wait(slot).unwrap_or_else(PoisonError::into_inner);
+            }
+            (slot.next.take(), slot.ending)
+        };
+        let Some((now, nodes)) = next else { return };
+        let change = difference(&known, version, now, &nodes);
+        match change.as_ref().map_or(Ok(()), |change| store.keep(change)) {
+            Ok(()) => {
+                known = nodes.into_iter().map(|s| (s.member.id.clone(), s)).collect();
+                version = Some(now);
+                if let Some(n) = outage.over() {
+                    log(format!("state: written again after {n} failures"));
+                }
+                let state = &mut shared.lock().state;
+                (state.fault, state.version) = (None, version);
+                state.writes += u64::from(change.is_some());
+            }
+            Err(e) => {
+                failed(&e, &mut outage);
+                let mut slot = shared.lock();
+                slot.state.fault = Some(e.to_string());
+                // Unless something newer has come meanwhile.
+                slot.next.get_or_insert((now, nodes));
+                if ending {
+                    return;
+                }
+                drop(shared.changed.wait_timeout(slot, AGAIN).unwrap_or_else(PoisonError::into_inner));
+            }
+        }
+    }
+}
+
+fn failed(e: &StateError, outage: &mut Outage) {
+    if let Some(n) = outage.failed(&e.to_string()) {
+        log(format!("state: {e}; the last good state stands, serving goes on (failure {n})"));
+    }
+}
+
+/// What is to be written; `None`: nothing.
+fn difference(
+    known: &BTreeMap<String, Stated>,
+    version: Option<u64>,
+    now: u64,
+    nodes: &[Stated],
+) -> Option<Change> {
+    let set: Vec<Stated> = nodes.iter().filter(|s| known.get(&s.member.id) != Some(s)).cloned().collect();
+    let live: std::collections::BTreeSet<&str> = nodes.iter().map(|s| s.member.id.as_str()).collect();
+    let gone: Vec<String> = known.keys().filter(|id| !live.contains(id.as_str())).cloned().collect();
+    let new = version != Some(now);
+    (new || !set.is_empty() || !gone.is_empty()).then(|| Change {
+        whole: false,
+        version: new.then_some(now),
+        set,
+        gone,
+    })
+}
--- a/crates/control-service/src/lib.rs
+++ b/crates/control-service/src/lib.rs
@@ -5,6 +5,7 @@
 mod admin;
 mod discovery;
 mod file;
+mod keeper;
 mod service;
 mod settings;
 
--- a/crates/control-service/src/service.rs
+++ b/crates/control-service/src/service.rs
@@ -1,5 +1,6 @@
 //! Starts the service and holds its parts together: the list comes in, the state decides, the hub hands out.
 
+use crate::keeper::Keeper;
 use crate::settings::{Settings, SourceOption};
 use crate::{admin, discovery, file, log};
 use rushquay_control::{Change, Control, NodeView, Origin, Taken};
@@ -8,6 +9,7 @@
 use rushquay_xds::Store;
 use rushquay_xds_grpc::{require_tls_beyond_loopback, serve, Hub, Tls, TlsError};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -16,6 +18,9 @@
 use tokio::task::JoinHandle;
 
 const TICK: Duration = Duration::from_secs(1);
+/// For so long after a start what was kept waits for the source's first word. Danger: handed out at once it might name
+/// nodes that went while the service was down; never handed out it would be of no use while the source is down too.
+const KEPT_WAITS: Duration = Duration::from_secs(5);
 
 /// What to start.
 #[derive(Clone, Debug)]
@@ -28,6 +33,8 @@
     pub admin: Option<SocketAddr>,
     /// All else.
     pub settings: Settings,
+    /// Where to keep what is known; `None`: in memory alone.
+    pub state: Option<PathBuf>,
 }
 
 /// Why the service can't start.
@@ -81,6 +88,10 @@
     pub source: Mutex<SourceState>,
     /// What it is.
     pub source_name: String,
+    /// The file that outlives a restart.
+    pub keeper: Option<Keeper>,
+    /// When it started.
+    started: std::time::Instant,
 }
 
 impl Shared {
@@ -109,22 +120,44 @@
                 source.refused += 1;
                 log(format!("a list without any node (version {}) is not obeyed", list.version));
             }
-            Taken::First => {
-                let shape = shape(&control);
-                let clusters = control.clusters();
-                self.hub.change(|store, now| {
-                    declare(store, &shape, clusters, now);
-                    store.open();
-                });
+            Taken::First => self.open(&control),
+            // The first word after a restart that kept what it knew.
+            Taken::Changed(_) if control.version().is_some() && !self.hub.store().is_open() => {
+                self.open(&control);
             }
             Taken::Changed(change) => self.declare(&control, &change),
         }
+        self.keep(&control);
+    }
+
+    /// Declares all, and hands out from now on.
+    fn open(&self, control: &Control) {
+        let shape = shape(control);
+        let clusters = control.clusters();
+        self.hub.change(|store, now| {
+            declare(store, &shape, clusters, now);
+            store.open();
+        });
+    }
+
+    fn keep(&self, control: &Control) {
+        if let (Some(keeper), Some(version)) = (&self.keeper, control.version()) {
+            keeper.keep(version, control.kept());
+        }
     }
 
     fn tick(&self) {
         let mut control = self.control.lock().unwrap_or_else(PoisonError::into_inner);
         let change = control.tick(self.hub.now());
         self.declare(&control, &change);
+        let waits = control.version().is_some() && !self.hub.store().is_open();
+        if waits && self.started.elapsed() >= KEPT_WAITS {
+            log("no list yet: serving what was kept".into());
+            self.open(&control);
+        }
+        if !change.is_empty() {
+            self.keep(&control);
+        }
     }
 
     fn declare(&self, control: &Control, change: &Change) {
@@ -238,13 +271,24 @@
     };
     let store = Store::new(&incarnation(), options.settings.control.removals);
     let hub = Hub::new(store, options.settings.limits(), log);
-    let control = Control::new(options.settings.control.clone(), origin);
+    let mut control = Control::new(options.settings.control.clone(), origin);
+    let mut keeper = None;
+    if let Some(path) = options.state {
+        // Reading a file of a fleet takes a millisecond, and nothing runs yet.
+        let (opened, saved) = Keeper::open(&path);
+        if let Some(version) = saved.version {
+            log(format!("state: {} nodes kept, list version {version}", saved.nodes.len()));
+            control.restore(version, saved.nodes, hub.now());
+        }
+        keeper = Some(opened);
+    }
     let source_name = match &options.source {
         SourceOption::Discovery(addr) => format!("discovery {addr}"),
         SourceOption::Nodes(path) => format!("file {}", path.display()),
     };
     let (control, source) = (Mutex::new(control), Mutex::default());
-    let shared = Arc::new(Shared { hub: hub.clone(), control, source, source_name });
+    let started = std::time::Instant::now();
+    let shared = Arc::new(Shared { hub: hub.clone(), control, source, source_name, keeper, started });
     if let Some(list) = first {
         shared.take(Told::List(list));
     }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -122,6 +122,33 @@
         }
     }
 
+    /// Goes on from what was kept before a restart. Danger: told anew by the newest list, every entry would pass for
+    /// changed, and the whole would go to every subscriber again; and a drain that discovery forgot as well would be over.
+    pub fn restore(&mut self, version: u64, nodes: Vec<Stated>, now: Nanos) {
+        let listed: BTreeMap<String, (u64, bool)> =
+            nodes.iter().map(|s| (s.member.id.clone(), (s.listed, s.shared))).collect();
+        let changes = self.merge.restore(Source::Discovery, version, nodes, now);
+        self.version = Some(version);
+        self.apply(changes, version, now);
+        for stated in self.clusters.iter_mut().flat_map(BTreeMap::values_mut) {
+            if let Some((listed, shared)) = listed.get(&stated.member.id) {
+                (stated.listed, stated.shared) = (*listed, *shared);
+            }
+        }
+    }
+
+    /// The nodes as a restart needs them: with the weights that the list tells.
+    pub fn kept(&self) -> Vec<Stated> {
+        let stated = |member: &Member| {
+            let at = usize::from(member.kind == self.config.origin_kind);
+            let now = self.clusters[at].get(&member.id)?;
+            Some(Stated { member: member.clone(), ..now.clone() })
+        };
+        let mut all: Vec<Stated> = self.merge.nodes().filter_map(|v| stated(v.member)).collect();
+        all.sort_by(|a, b| a.member.id.cmp(&b.member.id));
+        all
+    }
+
     /// Lets what has been held for long enough go.
     pub fn tick(&mut self, now: Nanos) -> Change {
         let changes = self.merge.tick(now);
@@ -209,6 +236,32 @@
         assert_eq!(c.clusters()[0]["a"].member.state, NodeState::Ready);
     }
 
+    #[test]
+    fn a_restart_goes_on_where_it_was() {
+        let mut before = control();
+        before.list(&list(5, true, &format!("{},{}", node("a", "ready", ""), node("b", "ready", ""))), 0);
+        before.list(&list(6, false, &node("b", "draining", "")), 1);
+        before.list(&list(7, false, &node("c", "ready", r#","weight":2"#)), 1);
+        let mut after = control();
+        after.restore(before.version().expect("a version"), before.kept(), 9);
+        assert_eq!(after.clusters(), before.clusters());
+        assert_eq!(after.kept(), before.kept());
+        // The same list again changes nothing, an old one brings no drain back, a newer one does.
+        let all = |b: &str| {
+            format!(
+                "{},{},{}",
+                node("a", "ready", ""),
+                node("b", b, ""),
+                node("c", "ready", r#","weight":2"#)
+            )
+        };
+        assert_eq!(after.list(&list(7, true, &all("draining")), 10), Taken::Changed(Change::default()));
+        after.list(&list(5, true, &all("ready")), 11);
+        assert_eq!(after.clusters()[0]["b"].member.state, NodeState::Draining);
+        after.list(&list(8, true, &all("ready")), 12);
+        assert_eq!(after.clusters()[0]["b"].member.state, NodeState::Ready);
+    }
+
     #[test]
     fn the_origin_is_a_cluster_of_its_own_and_kinds_have_their_weights() {
         let mut c = control();
--- a/crates/nodes/src/merge.rs
+++ b/crates/nodes/src/merge.rs
@@ -152,6 +152,13 @@
         changes
     }
 
+    /// What this source had said before a restart: its version and its entries, each from the list in which it was last
+    /// told. A list of a lower version that comes next is an old one, as it would have been without the restart.
+    pub fn restore(&mut self, source: Source, version: u64, all: Vec<Stated>, now: Nanos) -> Changes {
+        self.tables[source as usize].version = version;
+        self.take(source, News::Whole(all), now)
+    }
+
     /// Takes news from the control service; `incarnation` names the process that speaks. The view is continuous
     /// while it stays the same.
     pub fn control(&mut self, incarnation: &str, news: News, now: Nanos) -> Changes {
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,11 @@
+//! What a control service knows, kept through restarts and crashes: node knowledge with its drains, and the version of
+//! the list that it comes from. Records carry their form and a checksum; a transaction is there whole or not at all.
+#![forbid(unsafe_code)]
+
+mod record;
+mod store;
+mod text;
+
+pub use record::{Kept, RecordError, FORM};
+pub use store::{Change, Saved, StateError, StateStore};
+pub use text::{dump, restore};
--- /dev/null
+++ b/crates/state/src/store.rs
@@ -0,0 +1,231 @@
+//! The embedded store.
+
+use crate::record::{open, seal, Kept, RecordError, FORM};
+use redb::{
+    Database, DatabaseError, ReadableDatabase, ReadableTable, StorageBackend, StorageError, TableDefinition,
+};
+use rushquay_nodes::Stated;
+use std::io::ErrorKind;
+use std::path::{Path, PathBuf};
+
+const NODES: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("nodes");
+const META: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("meta");
+/// Version of the list last taken.
+const VERSION: &str = "version";
+/// Memory for pages; a fleet's records are some hundred kilobytes.
+const CACHE: usize = 4 << 20;
+
+/// What keeps state from being kept or read. Each says what to do; the service goes on from memory meanwhile.
+#[derive(Debug, thiserror::Error)]
+pub enum StateError {
+    /// Another process holds it.
+    #[error("{0}: another instance holds it; stop that one, or give this one a file of its own")]
+    Locked(PathBuf),
+    /// It may not be written.
+    #[error("{0}: can't be written ({1}); mount it writable, or run without --state")]
+    ReadOnly(PathBuf, String),
+    /// There is no room.
+    #[error("{0}: no room on the disk; free some, the next change is written again")]
+    Full(PathBuf),
+    /// What stands there is no store, or damaged beyond its own repair.
+    #[error("{0}: {1}; move it away and start anew, or restore a dump: rushquay control state restore")]
+    Corrupt(PathBuf, String),
+    /// A record in it is damaged or of another version.
+    #[error("{path}: {table} {key:?}: {fault}")]
+    Record {
+        /// The file.
+        path: PathBuf,
+        /// The table.
+        table: &'static str,
+        /// The record's key.
+        key: String,
+        /// What is wrong with it.
+        fault: RecordError,
+    },
+    /// Anything else that the machine refuses.
+    #[error("{0}: {1}")]
+    Io(PathBuf, String),
+}
+
+/// What was kept.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Saved {
+    /// Version of the list last taken; `None`: none was.
+    pub version: Option<u64>,
+    /// The nodes, by id.
+    pub nodes: Vec<Stated>,
+}
+
+/// What is to be kept, in one transaction.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Change {
+    /// Everything else is dropped first.
+    pub whole: bool,
+    /// Version of the list last taken.
+    pub version: Option<u64>,
+    /// New or changed nodes.
+    pub set: Vec<Stated>,
+    /// Ids of nodes that are gone.
+    pub gone: Vec<String>,
+}
+
+/// The store. One process holds it at a time.
+pub struct StateStore {
+    path: PathBuf,
+    db: Database,
+}
+
+impl StateStore {
+    /// Opens the file, or begins one.
+    ///
+    /// # Errors
+    /// See [`StateError`].
+    pub fn open(path: &Path) -> Result<StateStore, StateError> {
+        if !path.exists() {
+            Self::begin(path)?;
+        }
+        let db = Database::builder().set_cache_size(CACHE).open(path).map_err(|e| opening(path, e))?;
+        Self::ready(path, db)
+    }
+
+    /// Makes a store beside the place and moves it there. Danger: killed while it writes its first pages, a store in
+    /// place would pass for a damaged one at each later start.
+    fn begin(path: &Path) -> Result<(), StateError> {
+        let mut new = path.as_os_str().to_owned();
+        new.push(".new");
+        let new = PathBuf::from(new);
+        let io = |e: std::io::Error| failed(path, redb::Error::Io(e));
+        match Database::builder().create(&new) {
+            Ok(db) => drop(Self::ready(path, db)?),
+            Err(DatabaseError::DatabaseAlreadyOpen) => return Err(StateError::Locked(path.to_owned())),
+            // What an earlier start left behind.
+            Err(_) if new.exists() => {
+                std::fs::remove_file(&new).map_err(io)?;
+                let db = Database::builder().create(&new).map_err(|e| opening(path, e))?;
+                drop(Self::ready(path, db)?);
+            }
+            Err(e) => return Err(opening(path, e)),
+        }
+        std::fs::rename(&new, path).map_err(io)?;
+        let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+        std::fs::File::open(folder).and_then(|f| f.sync_all()).map_err(io)
+    }
+
+    /// Opens what a backend holds: memory, or one that fails on purpose.
+    ///
+    /// # Errors
+    /// See [`StateError`].
+    pub fn open_backend(backend: impl StorageBackend) -> Result<StateStore, StateError> {
+        let path = Path::new("(backend)");
+        let db = Database::builder().set_cache_size(CACHE).create_with_backend(backend);
+        Self::ready(path, db.map_err(|e| opening(path, e))?)
+    }
+
+    fn ready(path: &Path, db: Database) -> Result<StateStore, StateError> {
+        let store = StateStore { path: path.to_owned(), db };
+        // Both tables are there from the start.
+        store.write(|_, _| Ok(()))?;
+        Ok(store)
+    }
+
+    /// Reads all that is kept, and checks each record.
+    ///
+    /// # Errors
+    /// The first record that can't be used.
+    pub fn read(&self) -> Result<Saved, StateError> {
+        let fault = |table, key: &str, fault| StateError::Record {
+            path: self.path.clone(),
+            table,
+            key: key.to_owned(),
+            fault,
+        };
+        let txn = self.db.begin_read().map_err(|e| self.failed(e.into()))?;
+        let nodes = txn.open_table(NODES).map_err(|e| self.failed(e.into()))?;
+        let meta = txn.open_table(META).map_err(|e| self.failed(e.into()))?;
+        let mut saved = Saved::default();
+        if let Some(record) = meta.get(VERSION).map_err(|e| self.failed(e.into()))? {
+            let (_, content) = open(record.value()).map_err(|f| fault("meta", VERSION, f))?;
+            let version = serde_json::from_slice(content);
+            saved.version =
+                Some(version.map_err(|e| fault("meta", VERSION, RecordError::Content(e.to_string())))?);
+        }
+        for row in nodes.iter().map_err(|e| self.failed(e.into()))? {
+            let (key, record) = row.map_err(|e| self.failed(e.into()))?;
+            let kept = Kept::read(record.value()).map_err(|f| fault("nodes", key.value(), f))?;
+            saved.nodes.push(kept.into());
+        }
+        Ok(saved)
+    }
+
+    /// Keeps a change. When this returns well, it outlives a crash; else it is there whole or not at all.
+    ///
+    /// # Errors
+    /// See [`StateError`]; what was kept before stands.
+    pub fn keep(&self, change: &Change) -> Result<(), StateError> {
+        self.write(|nodes, meta| {
+            if change.whole {
+                nodes.retain(|_, _| false)?;
+            }
+            for stated in &change.set {
+                let record = Kept::from(stated).record();
+                nodes.insert(stated.member.id.as_str(), record.as_slice())?;
+            }
+            for id in &change.gone {
+                nodes.remove(id.as_str())?;
+            }
+            if let Some(version) = change.version {
+                let record = seal(FORM, version.to_string().as_bytes());
+                meta.insert(VERSION, record.as_slice())?;
+            }
+            Ok(())
+        })
+    }
+
+    fn write(
+        &self,
+        change: impl FnOnce(&mut Rows<'_>, &mut Rows<'_>) -> Result<(), StorageError>,
+    ) -> Result<(), StateError> {
+        let txn = self.db.begin_write().map_err(|e| self.failed(e.into()))?;
+        {
+            let mut nodes = txn.open_table(NODES).map_err(|e| self.failed(e.into()))?;
+            let mut meta = txn.open_table(META).map_err(|e| self.failed(e.into()))?;
+            change(&mut nodes, &mut meta).map_err(|e| self.failed(e.into()))?;
+        }
+        txn.commit().map_err(|e| self.failed(e.into()))
+    }
+
+    fn failed(&self, e: redb::Error) -> StateError {
+        failed(&self.path, e)
+    }
+}
+
+type Rows<'txn> = redb::Table<'txn, &'static str, &'static [u8]>;
+
+fn opening(path: &Path, e: DatabaseError) -> StateError {
+    match e {
+        DatabaseError::DatabaseAlreadyOpen => StateError::Locked(path.to_owned()),
+        DatabaseError::RepairAborted => {
+            StateError::Corrupt(path.to_owned(), "its repair was broken off".into())
+        }
+        other => failed(path, other.into()),
+    }
+}
+
+fn failed(path: &Path, e: redb::Error) -> StateError {
+    let path = path.to_owned();
+    match e {
+        redb::Error::DatabaseAlreadyOpen => StateError::Locked(path),
+        redb::Error::Corrupted(why) => StateError::Corrupt(path, why),
+        redb::Error::Io(e) => match e.kind() {
+            ErrorKind::StorageFull | ErrorKind::QuotaExceeded | ErrorKind::FileTooLarge => {
+                StateError::Full(path)
+            }
+            ErrorKind::ReadOnlyFilesystem | ErrorKind::PermissionDenied => {
+                StateError::ReadOnly(path, e.to_string())
+            }
+            ErrorKind::InvalidData => StateError::Corrupt(path, e.to_string()),
+            _ => StateError::Io(path, e.to_string()),
+        },
+        other => StateError::Io(path, other.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/state/tests/crashes.rs
@@ -0,0 +1,267 @@
+//! Killed at every write: a storage that loses what was not synced, in part, torn and out of order.
+
+use redb::StorageBackend;
+use rushquay_nodes::{Member, NodeState, Stated};
+use rushquay_state::{dump, restore, Change, Saved, StateError, StateStore};
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::{Arc, Mutex};
+
+/// A disk: what is synced, and the writes since.
+#[derive(Clone, Debug, Default)]
+struct Disk(Arc<Mutex<Inner>>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    synced: Vec<u8>,
+    seen: Vec<u8>,
+    pending: Vec<(u64, Vec<u8>)>,
+    /// Operations left before the machine dies; `None`: it does not.
+    left: Option<u64>,
+    /// Writes find no room.
+    full: bool,
+    operations: u64,
+}
+
+impl Inner {
+    fn step(&mut self) -> io::Result<()> {
+        self.operations += 1;
+        match &mut self.left {
+            Some(0) => Err(io::Error::other("the machine is dead")),
+            Some(left) => {
+                *left -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+impl StorageBackend for Disk {
+    fn len(&self) -> io::Result<u64> {
+        Ok(self.0.lock().expect("a lock").seen.len() as u64)
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        let inner = self.0.lock().expect("a lock");
+        let at = offset as usize;
+        let from = inner.seen.get(at..at + out.len()).ok_or(io::ErrorKind::UnexpectedEof)?;
+        out.copy_from_slice(from);
+        Ok(())
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        let inner = &mut *self.0.lock().expect("a lock");
+        inner.step()?;
+        if inner.full && len > inner.seen.len() as u64 {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        inner.seen.resize(len as usize, 0);
+        // A file's length is journaled by the file system.
+        inner.synced.resize(len as usize, 0);
+        Ok(())
+    }
+
+    fn sync_data(&self) -> io::Result<()> {
+        let inner = &mut *self.0.lock().expect("a lock");
+        inner.step()?;
+        inner.synced.clone_from(&inner.seen);
+        inner.pending.clear();
+        Ok(())
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        let inner = &mut *self.0.lock().expect("a lock");
+        inner.step()?;
+        if inner.full {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        let at = offset as usize;
+        inner.seen[at..at + data.len()].copy_from_slice(data);
+        inner.pending.push((offset, data.to_vec()));
+        Ok(())
+    }
+
+    fn close(&self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Disk {
+    /// What a machine finds that comes up after a crash: of the writes since the last sync some, in any order, and one
+    /// of them torn.
+    fn after_crash(&self, seed: u64) -> Disk {
+        let inner = self.0.lock().expect("a lock");
+        let mut data = inner.synced.clone();
+        let mut random = seed;
+        let mut draw = |n: u64| {
+            random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            (random >> 33) % n.max(1)
+        };
+        let mut writes: Vec<&(u64, Vec<u8>)> = inner.pending.iter().collect();
+        for i in (1..writes.len()).rev() {
+            writes.swap(i, draw(i as u64 + 1) as usize);
+        }
+        for (offset, bytes) in writes {
+            let part = match draw(4) {
+                0 => 0,
+                // Torn, between sectors or within one.
+                1 => draw(bytes.len() as u64) as usize,
+                _ => bytes.len(),
+            };
+            let at = *offset as usize;
+            if let Some(to) = data.get_mut(at..at + part) {
+                to.copy_from_slice(&bytes[..part]);
+            }
+        }
+        Disk(Arc::new(Mutex::new(Inner { seen: data.clone(), synced: data, ..Inner::default() })))
+    }
+}
+
+fn node(id: usize, listed: u64) -> Stated {
+    let member = Member {
+        id: format!("cache-{id:02}"),
+        addr: "127.0.0.1:9001".parse().ok(),
+        zone: "vadodara".into(),
+        kind: "std-1c".into(),
+        cell: 1,
+        state: if listed % 3 == 0 { NodeState::Draining } else { NodeState::Ready },
+        weight: 1.5,
+        started: 1_700_000_000_123_456_789,
+    };
+    Stated { member, listed, shared: true }
+}
+
+/// The changes of a run: nodes come, change, drain and go.
+fn change(number: u64) -> Change {
+    let n = number as usize;
+    let set = (0..1 + n % 4).map(|i| node((n * 7 + i * 3) % 20, number)).collect();
+    let gone = if n % 5 == 4 { vec![format!("cache-{:02}", n % 20)] } else { Vec::new() };
+    Change { whole: n % 11 == 10, version: Some(number), set, gone }
+}
+
+/// What is to be there after so many changes.
+fn model(changes: u64) -> Saved {
+    let mut nodes: BTreeMap<String, Stated> = BTreeMap::new();
+    for number in 1..=changes {
+        let change = change(number);
+        if change.whole {
+            nodes.clear();
+        }
+        nodes.extend(change.set.into_iter().map(|s| (s.member.id.clone(), s)));
+        change.gone.iter().for_each(|id| drop(nodes.remove(id)));
+    }
+    Saved { version: (changes > 0).then_some(changes), nodes: nodes.into_values().collect() }
+}
+
+const CHANGES: u64 = 30;
+
+/// A disk with a store on it in which nothing is kept yet: a file comes to its place as such a store, or not at all.
+fn begun() -> Disk {
+    let disk = Disk::default();
+    drop(StateStore::open_backend(disk.clone()).expect("a store"));
+    disk.0.lock().expect("a lock").operations = 0;
+    disk
+}
+
+/// Runs until the machine dies; how many changes were acknowledged.
+fn run(disk: &Disk) -> u64 {
+    let Ok(store) = StateStore::open_backend(disk.clone()) else { return 0 };
+    let mut kept = 0;
+    for number in 1..=CHANGES {
+        if store.keep(&change(number)).is_err() {
+            break;
+        }
+        kept = number;
+    }
+    kept
+}
+
+/// What was acknowledged is there; the one that was not is whole or absent.
+#[test]
+fn killed_at_every_write() {
+    let counting = begun();
+    assert_eq!(run(&counting), CHANGES);
+    let operations = counting.0.lock().expect("a lock").operations;
+    // RUSHQUAY_CRASHES plays more ways to crash at each write.
+    let seeds = std::env::var("RUSHQUAY_CRASHES").ok().and_then(|n| n.parse().ok()).unwrap_or(4);
+    let mut points = 0;
+    for left in 0..operations {
+        for seed in 0..seeds {
+            let disk = begun();
+            disk.0.lock().expect("a lock").left = Some(left);
+            let kept = run(&disk);
+            let found = disk.after_crash(seed * 1000 + left);
+            points += 1;
+            let saved = StateStore::open_backend(found)
+                .and_then(|s| s.read())
+                .unwrap_or_else(|e| panic!("killed at {left}, seed {seed}: {e}"));
+            let whole = [kept, kept + 1].iter().any(|n| saved == model(*n));
+            assert!(
+                whole,
+                "killed at {left}, seed {seed}: {kept} acknowledged, found version {:?}",
+                saved.version
+            );
+        }
+    }
+    println!("{points} kill points");
+    assert!(points > 1000, "{points} kill points");
+}
+
+#[test]
+fn a_full_disk_leaves_the_last_good_state_and_is_used_again() {
+    let disk = Disk::default();
+    let store = StateStore::open_backend(disk.clone()).expect("a store");
+    for number in 1..=5 {
+        store.keep(&change(number)).expect("kept");
+    }
+    disk.0.lock().expect("a lock").full = true;
+    let e = store.keep(&change(6)).expect_err("no room");
+    assert!(matches!(e, StateError::Full(_)), "{e}");
+    drop(store);
+    disk.0.lock().expect("a lock").full = false;
+    let store = StateStore::open_backend(disk.after_crash(1)).expect("a store");
+    assert_eq!(store.read().expect("read"), model(5));
+    store.keep(&change(6)).expect("kept");
+    assert_eq!(store.read().expect("read"), model(6));
+}
+
+#[test]
+fn files_that_cannot_be_used_are_named_with_what_to_do() {
+    let folder = std::env::temp_dir().join(format!("rushquay-state-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let path = folder.join("state.redb");
+    let first = StateStore::open(&path).expect("a store");
+    first.keep(&change(1)).expect("kept");
+    let second = StateStore::open(&path).map(drop).expect_err("held");
+    assert!(matches!(&second, StateError::Locked(p) if *p == path), "{second}");
+    drop(first);
+    assert_eq!(StateStore::open(&path).expect("a store").read().expect("read"), model(1));
+    // Killed while it was begun: what is left beside the place does no harm.
+    let other = folder.join("other.redb");
+    std::fs::write(folder.join("other.redb.new"), vec![0; 4096]).expect("written");
+    assert_eq!(StateStore::open(&other).expect("a store").read().expect("read"), Saved::default());
+    std::fs::write(&path, vec![7; 8192]).expect("written");
+    let spoilt = StateStore::open(&path).map(drop).expect_err("no store");
+    assert!(matches!(spoilt, StateError::Corrupt(..)), "{spoilt}");
+    let nowhere =
+        StateStore::open(&folder.join("no/such/folder/state.redb")).map(drop).expect_err("no folder");
+    assert!(nowhere.to_string().contains("no/such/folder"), "{nowhere}");
+    std::fs::remove_dir_all(&folder).expect("removed");
+}
+
+#[test]
+fn a_dump_is_restored_to_the_same_and_a_cut_one_is_refused() {
+    let store = StateStore::open_backend(Disk::default()).expect("a store");
+    (1..=9).for_each(|n| store.keep(&change(n)).expect("kept"));
+    let saved = store.read().expect("read");
+    let text = dump(&saved);
+    let other = StateStore::open_backend(Disk::default()).expect("a store");
+    other.keep(&change(3)).expect("kept");
+    other.keep(&restore(&text).expect("a dump")).expect("kept");
+    assert_eq!(other.read().expect("read"), saved);
+    let lines: Vec<&str> = text.lines().collect();
+    let cut = lines[..lines.len() - 1].join("\n");
+    assert!(restore(&cut).expect_err("cut").contains("cut off"));
+    assert!(restore("{}").expect_err("no dump").starts_with("line 1"));
+}
--- a/examples/control_figures.rs
+++ b/examples/control_figures.rs
@@ -54,7 +54,8 @@
     let (discovery, behind) = (Discovery::start(1, &list).await, Discovery::start(1, &list).await);
     let any = "127.0.0.1:0".parse().expect("an address");
     let source = SourceOption::Discovery(discovery.addr);
-    let service = start(Options { listen: any, source, admin: None, settings: Settings::default() }).await;
+    let service =
+        start(Options { listen: any, source, admin: None, settings: Settings::default(), state: None }).await;
     let service = service.expect("a control service");
     let proxy = |i| {
         let config = proxy_config(&format!("p{i}"), behind.addr, &[service.xds], &list);
--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -41,7 +41,8 @@
     let behind = Discovery::start(1, &list).await;
     let any = "127.0.0.1:0".parse().map_err(|e| format!("{e}"))?;
     let source = SourceOption::Discovery(discovery.addr);
-    let options = Options { listen: any, source, admin: Some(any), settings: Settings::default() };
+    let options =
+        Options { listen: any, source, admin: Some(any), settings: Settings::default(), state: None };
     let control = start(options).await.map_err(|e| e.to_string())?;
     let mut proxies = Vec::new();
     for number in 0..PROXIES {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod demo;
+mod state;
 
 use clap::{Parser, Subcommand};
 use ravenlug::net;
@@ -28,10 +29,11 @@
         control: Option<PathBuf>,
     },
     /// The control service: follows the node list and hands it out as xDS.
+    #[command(args_conflicts_with_subcommands = true, subcommand_negates_reqs = true)]
     Control {
         /// Where subscribers connect (xDS over gRPC); port 0 takes a free one.
-        #[arg(long, value_name = "ADDR")]
-        listen: SocketAddr,
+        #[arg(long, value_name = "ADDR", required = true)]
+        listen: Option<SocketAddr>,
         /// Follow the list at discovery.
         #[arg(long, value_name = "ADDR", required_unless_present = "nodes", conflicts_with = "nodes")]
         discovery: Option<SocketAddr>,
@@ -47,6 +49,11 @@
         /// Further settings (TOML): weights, TLS, limits.
         #[arg(long, value_name = "FILE")]
         config: Option<PathBuf>,
+        /// Keep what is known in this file, and go on from it after a restart. Without: in memory alone.
+        #[arg(long, value_name = "FILE")]
+        state: Option<PathBuf>,
+        #[command(subcommand)]
+        command: Option<ControlCommand>,
     },
     /// A small installation on loopback: requests, a drain, and how soon each proxy left the node.
     Demo {
@@ -61,11 +68,22 @@
     },
 }
 
+#[derive(Subcommand)]
+enum ControlCommand {
+    /// Looks into the file that --state names, or replaces what it holds. No service may hold it meanwhile.
+    State {
+        #[command(subcommand)]
+        command: state::StateCommand,
+    },
+}
+
 /// Does what the command line says.
 pub fn run() -> Result<(), String> {
     match Cli::parse().command {
         Command::Proxy { control } => proxy(control),
-        Command::Control { listen, discovery, nodes, cluster, admin, config } => {
+        Command::Control { command: Some(ControlCommand::State { command }), .. } => state::run(command),
+        Command::Control { listen, discovery, nodes, cluster, admin, config, state, command: None } => {
+            let listen = listen.ok_or("--listen is needed")?;
             let mut settings = config.as_deref().map(read_settings).transpose().map_err(|e| e.to_string())?;
             let settings: &mut Settings = settings.get_or_insert_default();
             if let Some(cluster) = cluster {
@@ -77,7 +95,7 @@
                 (None, Some(path)) => SourceOption::Nodes(path),
                 (None, None) => return Err("--discovery or --nodes is needed".into()),
             };
-            control(Options { listen, source, admin, settings: settings.clone() })
+            control(Options { listen, source, admin, settings: settings.clone(), state })
         }
         Command::Demo { once } => threads()?.block_on(async { demo::demo(once, ending()?).await }),
         Command::Check { file } => {
--- a/tests/control/program.rs
+++ b/tests/control/program.rs
@@ -301,3 +301,42 @@
         until("it has gone", || hub.subscribers().is_empty()).await;
     }
 }
+
+/// Killed outright, its file dumped, checked, and restored elsewhere.
+#[test]
+fn kept_state_is_dumped_checked_and_restored() {
+    let folder = Folder::new("state");
+    let list = r#"{"version":3,"full":true,"servers":[{"id":"a","addr":"127.0.0.1:1","kind":"k","state":"draining"}]}"#;
+    let nodes = folder.write("nodes.json", list);
+    let file = folder.0.join("control.redb");
+    let of = |path: &Path| path.to_str().expect("a path").to_owned();
+    let args = ["control", "--listen", "127.0.0.1:0", "--nodes", &of(&nodes), "--state", &of(&file)];
+    let mut child = rushquay(&args).stdout(Stdio::piped()).spawn().expect("started");
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().expect("its output")).read_line(&mut line).expect("a line");
+    let verify = || run(&["control", "state", "verify", &of(&file)]);
+    let start = Instant::now();
+    // While it runs the file is its own.
+    let held = verify();
+    assert!(String::from_utf8_lossy(&held.stderr).contains("another instance holds it"), "{held:?}");
+    let copy = folder.0.join("copy.redb");
+    let whole = || {
+        std::fs::copy(&file, &copy).expect("copied");
+        run(&["control", "state", "verify", &of(&copy)])
+    };
+    while !String::from_utf8_lossy(&whole().stdout).contains("1 nodes, list version 3") {
+        assert!(start.elapsed() < LONG, "it never came that the list is kept");
+    }
+    child.kill().expect("killed");
+    child.wait().expect("ended");
+    let dumped = run(&["control", "state", "dump", &of(&file)]);
+    let text = String::from_utf8_lossy(&dumped.stdout).into_owned();
+    assert!(text.contains("\"draining\"") && text.lines().count() == 2, "{text}");
+    let dump = folder.write("dump.jsonl", &text);
+    let other = folder.0.join("other.redb");
+    let restored = run(&["control", "state", "restore", &of(&other), &of(&dump)]);
+    assert!(restored.status.success(), "{restored:?}");
+    assert_eq!(run(&["control", "state", "dump", &of(&other)]).stdout, dumped.stdout);
+    let missing = run(&["control", "state", "dump", &of(&folder.0.join("none"))]);
+    assert!(!missing.status.success() && String::from_utf8_lossy(&missing.stderr).contains("no such file"));
+}
--- a/tests/control/restarts.rs
+++ b/tests/control/restarts.rs
@@ -170,3 +170,120 @@
     let outcomes = load.stop().await;
     assert_eq!((outcomes.lost, outcomes.failed, outcomes.served), (0, 0, outcomes.asked));
 }
+
+/// A control service that keeps what it knows in a file.
+async fn keeping(discovery: SocketAddr, file: &std::path::Path) -> ControlService {
+    let source = SourceOption::Discovery(discovery);
+    start(Options { state: Some(file.into()), ..options(source) }).await.expect("a control service")
+}
+
+struct File(std::path::PathBuf);
+
+impl File {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("rushquay-{name}-{}.redb", std::process::id()));
+        let _ = std::fs::remove_file(&path);
+        File(path)
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// Entries last told in several lists; a control service that starts anew has them all from the newest, and sends
+/// nothing again, since it kept where each is from.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_restarted_control_service_sends_nothing_that_is_held_already() {
+    use std::sync::atomic::Ordering::Relaxed;
+    let file = File::new("held");
+    let fleet = nodes(&["a", "b", "c"]).await;
+    let discovery = Discovery::start(1, &ready(&fleet)).await;
+    let silent = Discovery::start(1, &[]).await;
+    silent.down(true);
+    let service = keeping(discovery.addr, &file.0).await;
+    let link = Link::to(service.xds).await;
+    let _proxy = proxy("p", silent.addr, &[link.addr], &[]);
+    all_taken(&service, 1).await;
+    let before = service.hub().counters.bytes.load(Relaxed);
+    assert!(before > 0);
+    for weight in [2.0, 3.0] {
+        let mut heavier = entry(&fleet[0], "rajkot", "std-1c", "ready", 1000);
+        heavier["weight"] = json!(weight);
+        let seq = service.hub().store().seq();
+        discovery.put(heavier);
+        let hub = service.hub().clone();
+        until("the control service has heard", || hub.store().seq() > seq).await;
+        all_taken(&service, 1).await;
+    }
+    link.cut();
+    service.stop().await;
+    let restarted = keeping(discovery.addr, &file.0).await;
+    let hub = restarted.hub().clone();
+    until("it knows the list", || hub.store().is_open()).await;
+    link.mend(restarted.xds);
+    all_taken(&restarted, 1).await;
+    assert_eq!(hub.counters.bytes.load(Relaxed), 0, "sent again");
+    // What is new is sent: a drain, and that alone.
+    let seq = hub.store().seq();
+    discovery.set("b", "draining");
+    until("the control service has heard", || hub.store().seq() > seq).await;
+    all_taken(&restarted, 1).await;
+    let sent = hub.counters.bytes.load(Relaxed);
+    assert!(sent > 0 && sent < before / 2, "{sent} of {before}");
+}
+
+/// Discovery has forgotten a drain, and the control service is another process since: it still stands, also for clients
+/// that keep nothing themselves.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_drain_that_discovery_forgot_outlives_a_restart_of_the_control_service() {
+    let file = File::new("drain");
+    let fleet = nodes(&["a", "b", "c"]).await;
+    let discovery = Discovery::start(41, &ready(&fleet)).await;
+    let service = keeping(discovery.addr, &file.0).await;
+    let hub = service.hub().clone();
+    until("it knows the list", || hub.store().is_open()).await;
+    let seq = hub.store().seq();
+    discovery.set("b", "draining");
+    until("the control service has heard", || hub.store().seq() > seq).await;
+    service.stop().await;
+    discovery.replace(41, &ready(&fleet));
+    let restarted = keeping(discovery.addr, &file.0).await;
+    let hub = restarted.hub().clone();
+    until("it knows the list", || hub.store().is_open()).await;
+    // A proxy that never heard of the drain.
+    let silent = Discovery::start(1, &[]).await;
+    silent.down(true);
+    let proxy = proxy("fresh", silent.addr, &[restarted.xds], &[]);
+    all_taken(&restarted, 1).await;
+    assert_eq!(served_by(&proxy, 150).await.keys().map(String::as_str).collect::<Vec<_>>(), ["a", "c"]);
+}
+
+/// With its source down as well it hands out what it kept, after a while; and a file held by another leaves it running
+/// from memory.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_was_kept_is_served_without_a_source_and_a_held_file_is_no_end() {
+    let file = File::new("alone");
+    let fleet = nodes(&["a", "b"]).await;
+    let discovery = Discovery::start(41, &ready(&fleet)).await;
+    let service = keeping(discovery.addr, &file.0).await;
+    let hub = service.hub().clone();
+    until("it knows the list", || hub.store().is_open()).await;
+    let second = keeping(discovery.addr, &file.0).await;
+    let other = second.hub().clone();
+    until("the second serves from memory", || other.store().is_open()).await;
+    second.stop().await;
+    service.stop().await;
+    discovery.down(true);
+    let alone = keeping(discovery.addr, &file.0).await;
+    let hub = alone.hub().clone();
+    assert!(!hub.store().is_open(), "it waits for its source first");
+    until("it serves what it kept", || hub.store().is_open()).await;
+    let silent = Discovery::start(1, &[]).await;
+    silent.down(true);
+    let proxy = proxy("p", silent.addr, &[alone.xds], &[]);
+    all_taken(&alone, 1).await;
+    assert_eq!(served_by(&proxy, 100).await.len(), 2);
+}
--- a/tests/faults/rig.rs
+++ b/tests/faults/rig.rs
@@ -98,8 +98,13 @@
             true => {
                 let source = SourceOption::Discovery(through("control-discovery"));
                 let any = "127.0.0.1:0".parse().expect("an address");
-                let options =
-                    ControlOptions { listen: any, source, admin: None, settings: Settings::default() };
+                let options = ControlOptions {
+                    listen: any,
+                    source,
+                    admin: None,
+                    settings: Settings::default(),
+                    state: None,
+                };
                 Some(start(options).await.expect("a control service"))
             }
         };
