Hand overrides out as endpoint metadata and let each proxy expire them by itself

Change: what is imposed travels with the endpoint (out since and until, factors in their order, when a cache is cold); the merge applies it on top of the list, only ever restricting, and a node that comes back cold counts as started then. Plain xDS clients see DRAINING and the multiplied weight. Measured: the merge's tests, cut off in between; digests of nodes without overrides are what they were.

--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::ControlConfig;
 use rushquay_nodes::{Changes, Member, Members, Merge, MergeLimits, Nanos, NodeState, Source, Stated};
+use rushquay_overrides::{decide, Fleet, Imposed, Node, Override, SECOND};
 use std::collections::BTreeMap;
 
 /// Where the list comes from.
@@ -59,14 +60,32 @@
     clusters: [BTreeMap<String, Stated>; 2],
     since: BTreeMap<String, Nanos>,
     version: Option<u64>,
+    overrides: Vec<Override>,
+    /// Unix time, as last told.
+    wall: Nanos,
+    cold_after: Nanos,
 }
 
+/// For so long a node that came back from an override is declared with it, so that a proxy that comes later spares it as
+/// well.
+const RETURNED: Nanos = 600 * SECOND;
+
 impl Control {
     /// Knows nothing yet, and declares nothing until the first list has come.
     pub fn new(config: ControlConfig, origin: Origin) -> Self {
         let hold = config.hold_s.saturating_mul(1_000_000_000);
         let merge = Merge::new(MergeLimits { hold, remembered: config.removals });
-        Control { config, origin, merge, clusters: Default::default(), since: BTreeMap::new(), version: None }
+        Control {
+            config,
+            origin,
+            merge,
+            clusters: Default::default(),
+            since: BTreeMap::new(),
+            version: None,
+            overrides: Vec::new(),
+            wall: 0,
+            cold_after: 0,
+        }
     }
 
     /// The settings.
@@ -122,6 +141,58 @@
         }
     }
 
+    /// The overrides that are live at this Unix time, all of them; and from how long an outage a node comes back cold.
+    pub fn impose(&mut self, overrides: Vec<Override>, wall: Nanos, cold_after: Nanos) -> Change {
+        (self.overrides, self.wall, self.cold_after) = (overrides, wall, cold_after);
+        let mut change = Change::default();
+        for at in 0..self.clusters.len() {
+            let anew: Vec<Stated> = self.clusters[at]
+                .values()
+                .map(|s| Stated { imposed: self.imposed(&s.member, Some(&s.imposed)), ..s.clone() })
+                .collect();
+            for stated in anew {
+                let id = stated.member.id.clone();
+                if self.clusters[at].get(&id) != Some(&stated) {
+                    self.clusters[at].insert(id, stated.clone());
+                    change.changed[at].push(stated);
+                }
+            }
+        }
+        change
+    }
+
+    /// What the overrides come to on a node; `before` is what they came to until now.
+    fn imposed(&self, member: &Member, before: Option<&Imposed>) -> Imposed {
+        let node = Node { id: &member.id, kind: &member.kind, zone: &member.zone };
+        let (mut imposed, _) = decide(self.overrides.iter(), &node, self.wall);
+        if imposed.out == (0, 0) {
+            if let Some((since, until)) = before.map(|b| b.out).filter(|out| *out != (0, 0)) {
+                // Over, or lifted.
+                let until = until.min(self.wall);
+                if self.wall.saturating_sub(until) < RETURNED {
+                    imposed.out = (since, until);
+                }
+            }
+        }
+        if !imposed.is_empty() {
+            imposed.cold_after = self.cold_after;
+            imposed.present = Some((imposed.is_out(self.wall), imposed.factor(self.wall)));
+        }
+        imposed
+    }
+
+    /// The cache nodes as guard rails see them.
+    pub fn fleet(&self) -> Vec<Fleet> {
+        let one = |s: &Stated| Fleet {
+            id: s.member.id.clone(),
+            kind: s.member.kind.clone(),
+            zone: s.member.zone.clone(),
+            weight: s.member.weight,
+            ready: s.member.state == NodeState::Ready,
+        };
+        self.clusters[0].values().map(one).collect()
+    }
+
     /// Goes on from what was kept before a restart. Danger: told anew by the newest list, every entry would pass for
     /// changed, and the whole would go to every subscriber again; and a drain that discovery forgot as well would be over.
     pub fn restore(&mut self, version: u64, nodes: Vec<Stated>, now: Nanos) {
@@ -170,10 +241,13 @@
             let weight =
                 if member.weight.is_finite() { (member.weight * factor).clamp(1e-6, 1e6) } else { factor };
             let at = usize::from(member.kind == self.config.origin_kind);
+            let before = self.clusters.iter().find_map(|nodes| nodes.get(&member.id)).map(|s| &s.imposed);
+            let imposed = self.imposed(&member, before);
             let stated = Stated {
                 member: Member { weight, ..member },
                 listed: version,
                 shared: self.origin == Origin::Discovery,
+                imposed,
             };
             let id = stated.member.id.clone();
             let moved = self.clusters[1 - at].remove(&id);
--- a/crates/nodes/src/lib.rs
+++ b/crates/nodes/src/lib.rs
@@ -6,11 +6,13 @@
 
 mod check;
 mod cursor;
+mod imposed;
 mod member;
 mod merge;
 
 pub use check::{check_list, ListFault};
 pub use cursor::Cursor;
+pub use imposed::Imposed;
 pub use member::{Member, Members, NodeState};
 pub use merge::{Changes, Merge, MergeLimits, News, Source, Stated, View};
 
--- a/crates/nodes/src/merge.rs
+++ b/crates/nodes/src/merge.rs
@@ -13,8 +13,11 @@
 //!    have it from discovery.
 //! 6. A node that a source stops naming is gone by its word where its view is continuous; another process that
 //!    doesn't name it may just be older than the node, and only withdraws.
+//! 7. What operators impose through the control service is applied on top, whatever start of the node it was set in, and
+//!    only restricts: out of service counts as draining, a factor goes on the weight, and a node that comes back with a
+//!    cold cache counts as started then. It ends by the clock, whoever can be reached.
 
-use crate::{Member, Members, Nanos, NodeState};
+use crate::{Imposed, Member, Members, Nanos, NodeState};
 use std::collections::{BTreeSet, HashMap};
 
 /// Who says something about nodes. The order is that of precedence for addresses.
@@ -39,6 +42,8 @@
     pub listed: u64,
     /// The list was discovery's, so that its versions can be compared between sources.
     pub shared: bool,
+    /// What operators' overrides add.
+    pub imposed: Imposed,
 }
 
 /// News from one source.
@@ -98,6 +103,7 @@
     member: Member,
     listed: u64,
     shared: bool,
+    imposed: Imposed,
     /// When the state was said first.
     at: Nanos,
     /// The view that it was said in.
@@ -124,12 +130,16 @@
     limits: MergeLimits,
     tables: [Table; SOURCES],
     merged: HashMap<String, (Member, Source)>,
+    /// When it was last told something, or the time.
+    now: Nanos,
+    /// When it was last told the time.
+    ticked: Nanos,
 }
 
 impl Merge {
     /// No source has said anything yet.
     pub fn new(limits: MergeLimits) -> Self {
-        Merge { limits, tables: Default::default(), merged: HashMap::new() }
+        Merge { limits, tables: Default::default(), merged: HashMap::new(), now: 0, ticked: 0 }
     }
 
     /// Takes a list in discovery's form from discovery, or what the configuration knew. A whole list of a lower
@@ -138,7 +148,10 @@
         let table = &mut self.tables[source as usize];
         table.view += u64::from(list.version < table.version);
         table.version = list.version;
-        let stated = |m: &Member| Stated { member: m.clone(), listed: list.version, shared: true };
+        let stated = |m: &Member| {
+            let imposed = Imposed::default();
+            Stated { member: m.clone(), listed: list.version, shared: true, imposed }
+        };
         let all: Vec<Stated> = list.servers.iter().map(stated).collect();
         let news = if list.full { News::Whole(all) } else { News::Changed(all, Vec::new()) };
         let mut changes = self.take(source, news, now);
@@ -185,7 +198,11 @@
     /// Believes what has been doubted for [`MergeLimits::hold`] and forgets what has been remembered for as long.
     pub fn tick(&mut self, now: Nanos) -> Changes {
         let hold = self.limits.hold;
-        let mut touched = BTreeSet::new();
+        let (before, mut touched) = (std::mem::replace(&mut self.ticked, now), BTreeSet::new());
+        self.now = self.now.max(now);
+        let imposed = self.tables[Source::Control as usize].said.iter();
+        let ends = |said: &Said| said.imposed.next(before).is_some_and(|end| end <= now);
+        touched.extend(imposed.filter(|(_, said)| ends(said)).map(|(id, _)| id.clone()));
         for table in &mut self.tables {
             table.said.retain(|id, said| {
                 if now.saturating_sub(said.at) < hold {
@@ -219,6 +236,7 @@
     }
 
     fn take(&mut self, source: Source, news: News, now: Nanos) -> Changes {
+        self.now = self.now.max(now);
         let (limits, table) = (self.limits, &mut self.tables[source as usize]);
         let mut touched = BTreeSet::new();
         let (stated, removed) = match news {
@@ -295,12 +313,20 @@
         let named = || said.iter().filter(|(_, s)| s.names);
         let first = named().next().map(|(_, s)| &s.member)?;
         let control = named().find(|(s, _)| *s == Source::Control).map(|(_, s)| &s.member);
-        let member = Member {
+        let mut member = Member {
             addr: named().find_map(|(_, s)| s.member.addr),
             state: worst,
             weight: control.unwrap_or(first).weight,
             ..first.clone()
         };
+        // Rule 7.
+        if let Some(imposed) = self.tables[Source::Control as usize].said.get(id).map(|s| &s.imposed) {
+            if imposed.is_out(self.now) {
+                member.state = member.state.max(NodeState::Draining);
+            }
+            member.weight *= imposed.factor(self.now);
+            member.started = member.started.max(imposed.returned(self.now));
+        }
         Some((member, decided))
     }
 }
@@ -308,8 +334,8 @@
 impl Said {
     fn new(stated: Stated, at: Nanos, view: u64) -> Self {
         let names = stated.member.state != NodeState::Gone;
-        let Stated { member, listed, shared } = stated;
-        Said { member, listed, shared, at, view, names, doubted: None }
+        let Stated { member, listed, shared, imposed } = stated;
+        Said { member, listed, shared, imposed, at, view, names, doubted: None }
     }
 }
 
@@ -332,6 +358,8 @@
             let at = if same { old.at } else { now };
             *old = Said::new(new, at, view);
         } else {
+            // Operators' word is no matter of the list's age.
+            old.imposed = new.imposed.clone();
             old.doubted = Some(Box::new(new));
         }
     }
--- a/crates/nodes/tests/merge.rs
+++ b/crates/nodes/tests/merge.rs
@@ -23,7 +23,7 @@
 }
 
 fn stated(member: Member, listed: u64) -> Stated {
-    Stated { member, listed, shared: true }
+    Stated { member, listed, shared: true, imposed: Default::default() }
 }
 
 fn state(m: &Merge, id: &str) -> Option<NodeState> {
@@ -263,3 +263,53 @@
         }
     }
 }
+
+/// What an operator imposes is obeyed and ends by the clock alone, whatever the list says, and undoes no drain.
+#[test]
+fn what_is_imposed_ends_by_itself_and_only_restricts() {
+    use rushquay_nodes::Imposed;
+    const S: u64 = 1_000_000_000;
+    let mut merge = Merge::new(MergeLimits::default());
+    let list = |state: &str| -> Members {
+        let text = format!(
+            r#"{{"version":1,"full":true,"servers":[{{"id":"a","addr":"127.0.0.1:1","state":"{state}","weight":2}}]}}"#
+        );
+        serde_json::from_str(&text).expect("a list")
+    };
+    let stated = |imposed: Imposed| Stated {
+        member: list("ready").servers[0].clone(),
+        listed: 1,
+        shared: true,
+        imposed,
+    };
+    merge.list(Source::Discovery, &list("ready"), S);
+    let imposed = Imposed {
+        out: (S, 100 * S),
+        weights: vec![(50 * S, 0.5), (200 * S, 0.25)],
+        cold_after: 60 * S,
+        present: None,
+    };
+    let changes = merge.control("one", News::Whole(vec![stated(imposed)]), 2 * S);
+    let seen =
+        |changes: &rushquay_nodes::Changes| changes.upserts.first().map(|m| (m.state, m.weight, m.started));
+    assert_eq!(seen(&changes), Some((NodeState::Draining, 1.0, 0)));
+    // Cut off from here on.
+    merge.lost(Source::Control);
+    assert!(merge.tick(49 * S).is_empty());
+    assert_eq!(seen(&merge.tick(50 * S)), Some((NodeState::Draining, 0.5, 0)));
+    // Another list and a new start of the node change nothing of it.
+    let mut restarted = list("ready");
+    restarted.servers[0].started = 70 * S;
+    merge.list(Source::Discovery, &restarted, 71 * S);
+    assert!(merge.nodes().all(|v| v.member.state == NodeState::Draining));
+    // Back after 99 s: with a cold cache, and so through the cold ramp.
+    assert_eq!(seen(&merge.tick(100 * S)), Some((NodeState::Ready, 0.5, 100 * S)));
+    assert_eq!(seen(&merge.tick(200 * S)), Some((NodeState::Ready, 2.0, 100 * S)));
+    // The end of an override brings no draining node back.
+    let mut merge = Merge::new(MergeLimits::default());
+    merge.list(Source::Discovery, &list("draining"), S);
+    let short = Imposed { out: (S, 9 * S), ..Imposed::default() };
+    merge.control("one", News::Whole(vec![stated(short)]), 2 * S);
+    merge.tick(10 * S);
+    assert!(merge.nodes().all(|v| v.member.state == NodeState::Draining));
+}
--- a/crates/overrides/src/decide.rs
+++ b/crates/overrides/src/decide.rs
@@ -1,48 +1,7 @@
 //! What overrides come to on one node.
 
 use crate::{Effect, Nanos, Node, Override};
-
-/// What is imposed on a node, in a form that whoever holds it can apply and let expire without asking again.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Imposed {
-    /// Out of service since and until, Unix time in nanoseconds; 0 and 0: it is not, or no longer.
-    pub out: (Nanos, Nanos),
-    /// Factors on its weight with their ends, the one that counts first; each counts once those before it have ended.
-    pub weights: Vec<(Nanos, f64)>,
-}
-
-impl Imposed {
-    /// Whether it is out of service at this time.
-    pub fn is_out(&self, now: Nanos) -> bool {
-        (self.out.0..self.out.1).contains(&now)
-    }
-
-    /// The factor on its weight at this time.
-    pub fn factor(&self, now: Nanos) -> f64 {
-        self.weights.iter().find(|(until, _)| *until > now).map_or(1.0, |(_, factor)| *factor)
-    }
-
-    /// When it last came back from so long an outage that its cache is cold; 0: never.
-    pub fn returned(&self, now: Nanos, cold_after: Nanos) -> Nanos {
-        let (since, until) = self.out;
-        if until > 0 && until <= now && until.saturating_sub(since) >= cold_after {
-            until
-        } else {
-            0
-        }
-    }
-
-    /// When something ends next.
-    pub fn next(&self, now: Nanos) -> Option<Nanos> {
-        let ends = self.weights.iter().map(|(until, _)| *until);
-        ends.chain([self.out.1]).filter(|until| *until > now).min()
-    }
-
-    /// Whether there is nothing.
-    pub fn is_empty(&self) -> bool {
-        self.out == (0, 0) && self.weights.is_empty()
-    }
-}
+use rushquay_nodes::Imposed;
 
 /// How an override stands on a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/overrides/src/lib.rs
+++ b/crates/overrides/src/lib.rs
@@ -20,6 +20,7 @@
 mod types;
 
 pub use book::{Ask, Book, Event, EventKind, Refusal};
-pub use decide::{decide, Imposed, Standing};
+pub use decide::{decide, Standing};
 pub use guard::{Arithmetic, Fleet};
+pub use rushquay_nodes::Imposed;
 pub use types::{Effect, Nanos, Node, Override, Policy, Scope, SECOND};
--- a/crates/resources/src/decode.rs
+++ b/crates/resources/src/decode.rs
@@ -9,7 +9,7 @@
 };
 use envoy_types::pb::google::protobuf::{value, Value};
 use prost::Message;
-use rushquay_nodes::{Member, NodeState, Stated};
+use rushquay_nodes::{Imposed, Member, NodeState, Stated};
 use rushquay_xds::client::Came;
 use rushquay_xds::Kind;
 use std::collections::HashMap;
@@ -123,6 +123,8 @@
         _ => NodeState::Draining,
     };
     let own = Own::of(message.metadata.as_ref());
+    // Where something is imposed the health is for clients that know nothing of it.
+    let state = own.text("state").map_or(state, NodeState::from_word);
     let weight = match (own.number("weight"), &message.load_balancing_weight) {
         (Some(exact), _) if exact > 0.0 && exact.is_finite() => exact,
         (Some(_), _) => return Err(field(at("metadata.rushquay.weight"), "not over 0")),
@@ -155,7 +157,34 @@
         weight,
         started: nanos("started_ns")?,
     };
-    Ok(Stated { member, listed: nanos("listed")?, shared: own.flag("shared") })
+    let imposed =
+        imposed(&own).map_err(|name| field(at(&format!("metadata.rushquay.{name}")), "not as expected"))?;
+    Ok(Stated { member, listed: nanos("listed")?, shared: own.flag("shared"), imposed })
+}
+
+/// What is imposed; the name of a field that can't be read.
+fn imposed(own: &Own<'_>) -> Result<Imposed, &'static str> {
+    let pair = |text: &str| {
+        let (a, b) = text.split_once(':')?;
+        Some((a.parse().ok()?, b.to_owned()))
+    };
+    let mut imposed = Imposed::default();
+    if let Some(text) = own.text("out_ns") {
+        let (since, until) = pair(text).ok_or("out_ns")?;
+        imposed.out = (since, until.parse().map_err(|_| "out_ns")?);
+    }
+    for text in own.text("factors").into_iter().flat_map(|t| t.split(',')).filter(|t| !t.is_empty()) {
+        let (until, factor) = pair(text).ok_or("factors")?;
+        let factor: f64 = factor.parse().map_err(|_| "factors")?;
+        if !(factor > 0.0 && factor <= 10.0) {
+            return Err("factors");
+        }
+        imposed.weights.push((until, factor));
+    }
+    if let Some(text) = own.text("cold_after_ns") {
+        imposed.cold_after = text.parse().map_err(|_| "cold_after_ns")?;
+    }
+    Ok(imposed)
 }
 
 /// An address that can be connected to without a look-up; `None` where there is none at all.
--- a/crates/resources/src/encode.rs
+++ b/crates/resources/src/encode.rs
@@ -23,7 +23,7 @@
 };
 use envoy_types::pb::google::protobuf::{value, Any, Duration, Struct, UInt32Value, UInt64Value, Value};
 use prost::{Message, Name};
-use rushquay_nodes::{NodeState, Stated};
+use rushquay_nodes::{Imposed, NodeState, Stated};
 use rushquay_xds::{version_of, Declared, Kind, Nanos, Store};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -96,8 +96,19 @@
 fn content(node: &Stated) -> String {
     let m = &node.member;
     format!(
-        "{:?} {:?} {:?} {:?} {} {:?} {} {} {} {}",
-        m.id, m.addr, m.zone, m.kind, m.cell, m.state, m.weight, m.started, node.listed, node.shared
+        "{:?} {:?} {:?} {:?} {} {:?} {} {} {} {}{}",
+        m.id,
+        m.addr,
+        m.zone,
+        m.kind,
+        m.cell,
+        m.state,
+        m.weight,
+        m.started,
+        node.listed,
+        node.shared,
+        // Digests of nodes on which nothing is imposed are what they were.
+        if node.imposed.is_empty() { String::new() } else { format!(" {:?}", node.imposed) }
     )
 }
 
@@ -107,7 +118,9 @@
 
 fn endpoint(node: &Stated) -> LbEndpoint {
     let m = &node.member;
+    let (out, factor) = node.imposed.present.unwrap_or((false, 1.0));
     let health = match m.state {
+        NodeState::Ready if out => HealthStatus::Draining,
         NodeState::Ready => HealthStatus::Healthy,
         NodeState::Draining => HealthStatus::Draining,
         NodeState::Gone => HealthStatus::Unhealthy,
@@ -124,15 +137,18 @@
         ("listed", text(&node.listed.to_string())),
         ("shared", value::Kind::BoolValue(node.shared)),
     ];
-    let fields =
-        fields.into_iter().map(|(name, kind)| (name.to_owned(), Value { kind: Some(kind) })).collect();
+    let imposed = imposed(&node.imposed);
+    // Clients of this project take the state below for the list's, and let what is imposed end by themselves.
+    let own = (out && m.state == NodeState::Ready).then(|| ("state", text(m.state.as_str())));
+    let fields = fields.into_iter().chain(own).chain(imposed);
+    let fields = fields.map(|(name, kind)| (name.to_owned(), Value { kind: Some(kind) })).collect();
     LbEndpoint {
         health_status: health as i32,
         metadata: Some(Metadata {
             filter_metadata: [(METADATA.to_owned(), Struct { fields })].into(),
             ..Metadata::default()
         }),
-        load_balancing_weight: Some(UInt32Value { value: weight(m.weight) }),
+        load_balancing_weight: Some(UInt32Value { value: weight(m.weight * factor) }),
         host_identifier: Some(HostIdentifier::Endpoint(Endpoint {
             address: m.addr.map(|addr| Address {
                 address: Some(address::Address::SocketAddress(SocketAddress {
@@ -146,6 +162,21 @@
     }
 }
 
+/// What is imposed, as fields of the metadata. Danger: numbers there are doubles, which don't hold Unix time in
+/// nanoseconds.
+fn imposed(imposed: &Imposed) -> Vec<(&'static str, value::Kind)> {
+    if imposed.is_empty() {
+        return Vec::new();
+    }
+    let text = value::Kind::StringValue;
+    let weights: Vec<String> = imposed.weights.iter().map(|(until, f)| format!("{until}:{f}")).collect();
+    vec![
+        ("out_ns", text(format!("{}:{}", imposed.out.0, imposed.out.1))),
+        ("factors", text(weights.join(","))),
+        ("cold_after_ns", text(imposed.cold_after.to_string())),
+    ]
+}
+
 /// `load_balancing_weight`, which must be 1 at the least.
 fn weight(weight: f64) -> u32 {
     (weight * WEIGHT_UNIT).round().clamp(1.0, 16_000_000.0) as u32
--- a/crates/state/src/record.rs
+++ b/crates/state/src/record.rs
@@ -126,7 +126,8 @@
             weight: kept.weight,
             started: kept.started_ns,
         };
-        Stated { member, listed: kept.listed, shared: kept.shared }
+        // Overrides are kept in tables of their own.
+        Stated { member, listed: kept.listed, shared: kept.shared, imposed: Default::default() }
     }
 }
 
--- a/crates/state/tests/crashes.rs
+++ b/crates/state/tests/crashes.rs
@@ -129,7 +129,7 @@
         weight: 1.5,
         started: 1_700_000_000_123_456_789,
     };
-    Stated { member, listed, shared: true }
+    Stated { member, listed, shared: true, imposed: Default::default() }
 }
 
 /// The changes of a run: nodes come, change, drain and go.
