--- a/crates/control-service/src/admin.rs
+++ b/crates/control-service/src/admin.rs
@@ -1,17 +1,18 @@
 //! The admin page: `/status` as JSON, `/metrics` in Prometheus' text form, `/healthz`.
 
 use crate::service::Shared;
-use http_body_util::Full;
-use hyper::body::Bytes;
-use hyper::header::CONTENT_TYPE;
+use axum::extract::{DefaultBodyLimit, State};
+use axum::http::header::CONTENT_TYPE;
+use axum::http::StatusCode;
+use axum::response::IntoResponse;
+use axum::routing::get;
+use axum::Router;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
 use rushquay_nodes::NodeState;
 use rushquay_xds::server::Variant;
 use serde_json::{json, Value};
-use std::convert::Infallible;
 use std::fmt::Write as _;
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::{Arc, PoisonError};
@@ -22,9 +23,19 @@
 /// Connections at once. Danger: each that is accepted holds a descriptor, and the subscribers need them.
 const CONNECTIONS: usize = 64;
 const HEAD_WITHIN: Duration = Duration::from_secs(5);
+/// A body of a command is at most this long.
+const BODY_MOST: usize = 64 << 10;
 const CONNECTION_MOST: Duration = Duration::from_secs(60);
 
 pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    let routes = Router::new()
+        .route("/status", get(|State(s): State<Arc<Shared>>| async move { json_text(&status(&s)) }))
+        .route("/metrics", get(|State(s): State<Arc<Shared>>| async move { metrics_text(&s) }))
+        .route("/healthz", get(healthz))
+        .merge(crate::api::routes())
+        .fallback(|| async { (StatusCode::NOT_FOUND, "/status, /metrics, /healthz or /v1/overrides\n") })
+        .layer(DefaultBodyLimit::max(BODY_MOST))
+        .with_state(shared);
     let places = Arc::new(Semaphore::new(CONNECTIONS));
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
@@ -32,12 +43,8 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        let shared = shared.clone();
+        let service = TowerToHyperService::new(routes.clone());
         tokio::spawn(async move {
-            let service = service_fn(|request: Request<hyper::body::Incoming>| {
-                let response = respond(&request, &shared);
-                async move { Ok::<_, Infallible>(response) }
-            });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_WITHIN)
@@ -48,22 +55,18 @@
     }
 }
 
-fn respond<B>(request: &Request<B>, shared: &Shared) -> Response<Full<Bytes>> {
-    let answer = |status: StatusCode, kind: &'static str, body: String| {
-        let mut response = Response::new(Full::new(Bytes::from(body)));
-        *response.status_mut() = status;
-        response.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static(kind));
-        response
-    };
-    if request.method() != Method::GET {
-        return answer(StatusCode::METHOD_NOT_ALLOWED, "text/plain", "only GET\n".into());
-    }
-    match request.uri().path() {
-        "/status" => answer(StatusCode::OK, "application/json", format!("{:#}\n", status(shared))),
-        "/metrics" => answer(StatusCode::OK, "text/plain; version=0.0.4", metrics(shared)),
-        "/healthz" if shared.hub.store().is_open() => answer(StatusCode::OK, "text/plain", "ok\n".into()),
-        "/healthz" => answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "no node list yet\n".into()),
-        _ => answer(StatusCode::NOT_FOUND, "text/plain", "/status, /metrics or /healthz\n".into()),
+fn json_text(value: &Value) -> impl IntoResponse {
+    ([(CONTENT_TYPE, "application/json")], format!("{value:#}\n"))
+}
+
+fn metrics_text(shared: &Shared) -> impl IntoResponse {
+    ([(CONTENT_TYPE, "text/plain; version=0.0.4")], metrics(shared))
+}
+
+async fn healthz(State(shared): State<Arc<Shared>>) -> (StatusCode, &'static str) {
+    match shared.hub.store().is_open() {
+        true => (StatusCode::OK, "ok\n"),
+        false => (StatusCode::SERVICE_UNAVAILABLE, "no node list yet\n"),
     }
 }
 
@@ -165,6 +168,7 @@
             &one(f64::from(u8::from(up))),
         );
     }
+    metric("overrides", "gauge", "Overrides that are live.", &one(shared.book().live().count() as f64));
     metric("lists_total", "counter", "Lists taken.", &one(source.lists as f64));
     metric("lists_refused_total", "counter", "Lists that were not obeyed.", &one(source.refused as f64));
     metric("changes_total", "counter", "Changes of resources.", &one(shared.hub.store().seq() as f64));
--- a/crates/control-service/src/keeper.rs
+++ b/crates/control-service/src/keeper.rs
@@ -2,7 +2,8 @@
 
 use crate::log;
 use rushquay_nodes::Stated;
-use rushquay_state::{Change, Saved, StateError, StateStore};
+use rushquay_overrides::{Book, Policy};
+use rushquay_state::{BookChange, Change, Saved, StateError, StateStore};
 use rushquay_xds::client::Outage;
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -43,6 +44,7 @@
     /// The file.
     pub path: PathBuf,
     shared: Arc<Shared>,
+    store: Option<Arc<StateStore>>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -55,26 +57,28 @@
 impl Keeper {
     /// Opens the file and reads what it holds. One that can't be used is named in a line; the service then runs from
     /// memory, and the file stays as it is.
-    pub fn open(path: &Path) -> (Keeper, Saved) {
+    pub fn open(path: &Path, policy: Policy) -> (Keeper, Saved, Book) {
         let shared = Arc::new(Shared::default());
         let opened = StateStore::open(path).and_then(|store| {
-            let saved = store.read()?;
-            Ok((store, saved))
+            let (saved, book) = (store.read()?, store.read_book(policy)?);
+            Ok((Arc::new(store), saved, book))
         });
-        let (thread, saved) = match opened {
-            Ok((store, saved)) => {
+        let (thread, store, saved, book) = match opened {
+            Ok((store, saved, book)) => {
                 shared.lock().state.version = saved.version;
                 let known = saved.nodes.iter().map(|s| (s.member.id.clone(), s.clone())).collect();
                 let (own, version) = (shared.clone(), saved.version);
-                (Some(std::thread::spawn(move || keep(&store, &own, known, version))), saved)
+                let held = store.clone();
+                let thread = std::thread::spawn(move || keep(&held, &own, known, version));
+                (Some(thread), Some(store), saved, book)
             }
             Err(e) => {
                 log(format!("state: {e}; running from memory"));
                 shared.lock().state.fault = Some(e.to_string());
-                (None, Saved::default())
+                (None, None, Saved::default(), Book::new(policy))
             }
         };
-        (Keeper { path: path.to_owned(), shared, thread }, saved)
+        (Keeper { path: path.to_owned(), shared, store, thread }, saved, book)
     }
 
     /// Has this kept, soon.
@@ -85,6 +89,17 @@
         }
     }
 
+    /// Keeps the book of overrides, and returns once it is kept. It waits for the disk.
+    ///
+    /// # Errors
+    /// Why it is not kept.
+    pub fn keep_book(&self, change: &BookChange) -> Result<(), String> {
+        match &self.store {
+            Some(store) => store.keep_book(change).map_err(|e| e.to_string()),
+            None => Err(self.state().fault.unwrap_or_default()),
+        }
+    }
+
     /// How the file stands.
     pub fn state(&self) -> KeeperState {
         self.shared.lock().state.clone()
--- a/crates/control-service/src/lib.rs
+++ b/crates/control-service/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod admin;
+mod api;
 mod discovery;
 mod file;
 mod keeper;
@@ -10,7 +11,7 @@
 mod settings;
 
 pub use service::{start, ControlService, Options, StartError};
-pub use settings::{read_settings, LimitSettings, Settings, SettingsError, SourceOption};
+pub use settings::{read_settings, LimitSettings, OverrideSettings, Settings, SettingsError, SourceOption};
 
 /// A line about something rare. Danger: a fault that repeats without end would fill what holds the lines.
 pub(crate) fn log(line: String) {
--- a/crates/control-service/src/service.rs
+++ b/crates/control-service/src/service.rs
@@ -5,7 +5,9 @@
 use crate::{admin, discovery, file, log};
 use rushquay_control::{Change, Control, NodeView, Origin, Taken};
 use rushquay_nodes::Members;
+use rushquay_overrides::{Ask, Book, Override, Refusal};
 use rushquay_resources::{declare, declare_changed, Shape};
+use rushquay_state::BookChange;
 use rushquay_xds::Store;
 use rushquay_xds_grpc::{require_tls_beyond_loopback, serve, Hub, Tls, TlsError};
 use std::net::SocketAddr;
@@ -90,6 +92,10 @@
     pub source_name: String,
     /// The file that outlives a restart.
     pub keeper: Option<Keeper>,
+    /// Operators' overrides. Locked behind `control`, where both are.
+    pub book: Mutex<Book>,
+    /// The number of the last event of the book that was kept.
+    kept_events: Mutex<u64>,
     /// When it started.
     started: std::time::Instant,
 }
@@ -140,6 +146,108 @@
         });
     }
 
+    /// Unix time, in nanoseconds.
+    pub(crate) fn wall(&self) -> rushquay_nodes::Nanos {
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64
+    }
+
+    pub(crate) fn book(&self) -> std::sync::MutexGuard<'_, Book> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets an override and hands it out; with why it is not kept on disk, where it is not. It waits for the disk.
+    pub(crate) fn set(&self, ask: Ask, expected: Option<u64>) -> Result<(Override, Option<String>), Refusal> {
+        let fleet = self.control.lock().unwrap_or_else(PoisonError::into_inner).fleet();
+        let set = self.book().set(ask, &fleet, self.wall(), expected)?;
+        let undurable = self.keep_book();
+        log(format!(
+            "override {} set by {}: {} on {}: {}",
+            set.id, set.author, set.effect, set.scope, set.reason
+        ));
+        self.impose();
+        Ok((set, undurable))
+    }
+
+    /// Lifts one.
+    pub(crate) fn lift(
+        &self,
+        id: u64,
+        by: &str,
+        expected: Option<u64>,
+    ) -> Result<(Override, Option<String>), Refusal> {
+        let lifted = self.book().lift(id, by, self.wall(), expected)?;
+        let undurable = self.keep_book();
+        log(format!("override {id} lifted by {by}"));
+        self.impose();
+        Ok((lifted, undurable))
+    }
+
+    /// Keeps what has changed in the book; why not, where it is not.
+    fn keep_book(&self) -> Option<String> {
+        let Some(keeper) = &self.keeper else { return Some("no --state file is given".into()) };
+        // One at a time, in the order of the book.
+        let mut kept = self.kept_events.lock().unwrap_or_else(PoisonError::into_inner);
+        let (change, last) = {
+            let book = self.book();
+            let mut events: Vec<_> = book.history().take_while(|e| e.number > *kept).cloned().collect();
+            events.reverse();
+            let last = events.last().map_or(*kept, |e| e.number);
+            let change = BookChange {
+                live: book.live().cloned().collect(),
+                events,
+                next: book.next_id(),
+                revision: book.revision(),
+                history: book.policy().history,
+            };
+            (change, last)
+        };
+        match keeper.keep_book(&change) {
+            Ok(()) => {
+                *kept = last;
+                None
+            }
+            Err(e) => {
+                log(format!("state: {e}; overrides are held in memory"));
+                Some(e)
+            }
+        }
+    }
+
+    /// Declares what the overrides come to now.
+    fn impose(&self) {
+        let mut control = self.control.lock().unwrap_or_else(PoisonError::into_inner);
+        let (live, cold_after) = {
+            let book = self.book();
+            (book.live().cloned().collect(), book.policy().cold_after)
+        };
+        let change = control.impose(live, self.wall(), cold_after);
+        // Nothing is handed out before the first list.
+        if self.hub.store().is_open() {
+            self.declare(&control, &change);
+        }
+    }
+
+    /// Takes out what has expired, and announces what soon will.
+    fn expire(&self) {
+        let wall = self.wall();
+        let (expired, soon) = {
+            let mut book = self.book();
+            (book.expire(wall), book.expiring(wall))
+        };
+        for o in &soon {
+            let left = (o.until - wall) / 1_000_000_000;
+            log(format!("override {} ({} on {}) expires in {left} s", o.id, o.effect, o.scope));
+        }
+        for o in &expired {
+            log(format!("override {} ({} on {}) has expired", o.id, o.effect, o.scope));
+        }
+        if !expired.is_empty() {
+            self.impose();
+            // Retried with the next change where the disk refuses.
+            let _ = self.keep_book();
+        }
+    }
+
     fn keep(&self, control: &Control) {
         if let (Some(keeper), Some(version)) = (&self.keeper, control.version()) {
             keeper.keep(version, control.kept());
@@ -272,10 +380,12 @@
     let store = Store::new(&incarnation(), options.settings.control.removals);
     let hub = Hub::new(store, options.settings.limits(), log);
     let mut control = Control::new(options.settings.control.clone(), origin);
-    let mut keeper = None;
+    let policy = options.settings.overrides.policy();
+    let (mut keeper, mut book) = (None, Book::new(policy));
     if let Some(path) = options.state {
         // Reading a file of a fleet takes a millisecond, and nothing runs yet.
-        let (opened, saved) = Keeper::open(&path);
+        let (opened, saved, kept) = Keeper::open(&path, policy);
+        book = kept;
         if let Some(version) = saved.version {
             log(format!("state: {} nodes kept, list version {version}", saved.nodes.len()));
             control.restore(version, saved.nodes, hub.now());
@@ -288,7 +398,21 @@
     };
     let (control, source) = (Mutex::new(control), Mutex::default());
     let started = std::time::Instant::now();
-    let shared = Arc::new(Shared { hub: hub.clone(), control, source, source_name, keeper, started });
+    let kept_events = Mutex::new(book.history().next().map_or(0, |e| e.number));
+    let book = Mutex::new(book);
+    let shared = Arc::new(Shared {
+        hub: hub.clone(),
+        control,
+        source,
+        source_name,
+        keeper,
+        started,
+        kept_events,
+        book,
+    });
+    // What expired while the service was down is over, and the rest holds before anything is handed out.
+    shared.expire();
+    shared.impose();
     if let Some(list) = first {
         shared.take(Told::List(list));
     }
@@ -307,7 +431,12 @@
         loop {
             tokio::select! {
                 Some(told) = news.recv() => taking.take(told),
-                _ = tick.tick() => taking.tick(),
+                _ = tick.tick() => {
+                    taking.tick();
+                    // It may wait for the disk.
+                    let expiring = taking.clone();
+                    let _ = tokio::task::spawn_blocking(move || expiring.expire()).await;
+                }
             }
         }
     }));
--- a/crates/control-service/src/settings.rs
+++ b/crates/control-service/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings file of the control service (TOML).
 
 use rushquay_control::{ControlConfig, Fault};
+use rushquay_overrides::{Policy, SECOND};
 use rushquay_xds_grpc::{ServerLimits, TlsFiles};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -25,6 +26,51 @@
     pub tls: Option<TlsFiles>,
     /// Bounds.
     pub limits: LimitSettings,
+    /// Operators' overrides.
+    pub overrides: OverrideSettings,
+}
+
+/// Bounds of operators' overrides.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct OverrideSettings {
+    /// The longest that one may last, in seconds, 60 to 604800.
+    pub longest_s: u64,
+    /// The part of the fleet's weight that must stay in service, 0 to 1.
+    pub stay: f64,
+    /// One is announced so long before it expires, in seconds.
+    pub announce_s: u64,
+    /// A node that was out for so long comes back with a cold cache, in seconds.
+    pub cold_after_s: u64,
+    /// Events remembered, 100 to 1000000.
+    pub history: usize,
+}
+
+impl Default for OverrideSettings {
+    fn default() -> Self {
+        let usual = Policy::default();
+        OverrideSettings {
+            longest_s: usual.longest / SECOND,
+            stay: usual.stay,
+            announce_s: usual.announce / SECOND,
+            cold_after_s: usual.cold_after / SECOND,
+            history: usual.history,
+        }
+    }
+}
+
+impl OverrideSettings {
+    /// In the form of the decisions.
+    pub fn policy(&self) -> Policy {
+        Policy {
+            longest: self.longest_s.saturating_mul(SECOND),
+            stay: self.stay,
+            announce: self.announce_s.saturating_mul(SECOND),
+            cold_after: self.cold_after_s.saturating_mul(SECOND),
+            history: self.history,
+            ..Policy::default()
+        }
+    }
 }
 
 /// Bounds for subscribers.
@@ -93,6 +139,8 @@
             ("limits.streams", self.limits.streams, 1..=1_000_000),
             ("limits.names", self.limits.names, 1..=1_000_000),
             ("limits.message_kb", self.limits.message_kb, 4..=65_536),
+            ("overrides.longest_s", self.overrides.longest_s as usize, 60..=604_800),
+            ("overrides.history", self.overrides.history, 100..=1_000_000),
         ];
         for (field, held, range) in ranges {
             if !range.contains(&held) {
@@ -100,6 +148,10 @@
                 return Err(Fault { field: field.into(), expected });
             }
         }
+        if !(0.0..=1.0).contains(&self.overrides.stay) {
+            let expected = format!("a part from 0 to 1, found {}", self.overrides.stay);
+            return Err(Fault { field: "overrides.stay".into(), expected });
+        }
         Ok(())
     }
 }
--- a/crates/overrides/src/book.rs
+++ b/crates/overrides/src/book.rs
@@ -123,6 +123,11 @@
         self.history.iter().rev()
     }
 
+    /// The number that the next override gets.
+    pub fn next_id(&self) -> u64 {
+        self.next
+    }
+
     /// The bounds.
     pub fn policy(&self) -> &Policy {
         &self.policy
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -7,5 +7,5 @@
 mod text;
 
 pub use record::{Kept, RecordError, FORM};
-pub use store::{Change, Saved, StateError, StateStore};
+pub use store::{BookChange, Change, Saved, StateError, StateStore};
 pub use text::{dump, restore};
--- a/crates/state/src/store.rs
+++ b/crates/state/src/store.rs
@@ -2,14 +2,21 @@
 
 use crate::record::{open, seal, Kept, RecordError, FORM};
 use redb::{
-    Database, DatabaseError, ReadableDatabase, ReadableTable, StorageBackend, StorageError, TableDefinition,
+    Database, DatabaseError, ReadableDatabase, ReadableTable, ReadableTableMetadata, StorageBackend,
+    StorageError, TableDefinition,
 };
 use rushquay_nodes::Stated;
+use rushquay_overrides::{Book, Event, Override, Policy};
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 
 const NODES: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("nodes");
 const META: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("meta");
+const OVERRIDES: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("overrides");
+const HISTORY: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("history");
+/// The numbers that the book of overrides goes on from.
+const BOOK: &str = "book";
 /// Version of the list last taken.
 const VERSION: &str = "version";
 /// Memory for pages; a fleet's records are some hundred kilobytes.
@@ -56,6 +63,27 @@
     pub nodes: Vec<Stated>,
 }
 
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
+struct Numbers {
+    next: u64,
+    revision: u64,
+}
+
+/// What is to be kept of a book of overrides, in one transaction.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct BookChange {
+    /// All that are live.
+    pub live: Vec<Override>,
+    /// What happened since the last change was kept.
+    pub events: Vec<Event>,
+    /// The number of the next override.
+    pub next: u64,
+    /// The book's revision.
+    pub revision: u64,
+    /// Events remembered.
+    pub history: usize,
+}
+
 /// What is to be kept, in one transaction.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Change {
@@ -181,6 +209,71 @@
         })
     }
 
+    /// Keeps the book of overrides. When this returns well, it outlives a crash.
+    ///
+    /// # Errors
+    /// See [`StateError`]; what was kept before stands.
+    pub fn keep_book(&self, change: &BookChange) -> Result<(), StateError> {
+        let done = || -> Result<(), redb::Error> {
+            let txn = self.db.begin_write()?;
+            {
+                let mut overrides = txn.open_table(OVERRIDES)?;
+                overrides.retain(|_, _| false)?;
+                for one in &change.live {
+                    overrides.insert(one.id, sealed(one).as_slice())?;
+                }
+                let mut history = txn.open_table(HISTORY)?;
+                for event in &change.events {
+                    history.insert(event.number, sealed(event).as_slice())?;
+                }
+                // Danger: a history that is never cut grows for ever.
+                while history.len()? > change.history as u64 {
+                    history.pop_first()?;
+                }
+                let numbers = Numbers { next: change.next, revision: change.revision };
+                txn.open_table(META)?.insert(BOOK, sealed(&numbers).as_slice())?;
+            }
+            Ok(txn.commit()?)
+        };
+        done().map_err(|e| self.failed(e))
+    }
+
+    /// Reads the book of overrides.
+    ///
+    /// # Errors
+    /// The first record that can't be used.
+    pub fn read_book(&self, policy: Policy) -> Result<Book, StateError> {
+        let fault =
+            |table, key: String, fault| StateError::Record { path: self.path.clone(), table, key, fault };
+        let read = || -> Result<Result<Book, StateError>, redb::Error> {
+            let txn = self.db.begin_read()?;
+            let (mut live, mut events) = (Vec::new(), Vec::new());
+            for row in txn.open_table(OVERRIDES)?.iter()? {
+                let (key, record) = row?;
+                match unsealed::<Override>(record.value()) {
+                    Ok(one) => live.push(one),
+                    Err(f) => return Ok(Err(fault("overrides", key.value().to_string(), f))),
+                }
+            }
+            for row in txn.open_table(HISTORY)?.iter()? {
+                let (key, record) = row?;
+                match unsealed::<Event>(record.value()) {
+                    Ok(one) => events.push(one),
+                    Err(f) => return Ok(Err(fault("history", key.value().to_string(), f))),
+                }
+            }
+            let numbers = match txn.open_table(META)?.get(BOOK)? {
+                None => Numbers::default(),
+                Some(record) => match unsealed(record.value()) {
+                    Ok(numbers) => numbers,
+                    Err(f) => return Ok(Err(fault("meta", BOOK.into(), f))),
+                },
+            };
+            Ok(Ok(Book::restore(policy, live, events, numbers.next, numbers.revision)))
+        };
+        read().map_err(|e| self.failed(e))?
+    }
+
     fn write(
         &self,
         change: impl FnOnce(&mut Rows<'_>, &mut Rows<'_>) -> Result<(), StorageError>,
@@ -190,6 +283,8 @@
             let mut nodes = txn.open_table(NODES).map_err(|e| self.failed(e.into()))?;
             let mut meta = txn.open_table(META).map_err(|e| self.failed(e.into()))?;
             change(&mut nodes, &mut meta).map_err(|e| self.failed(e.into()))?;
+            txn.open_table(OVERRIDES).map_err(|e| self.failed(e.into()))?;
+            txn.open_table(HISTORY).map_err(|e| self.failed(e.into()))?;
         }
         txn.commit().map_err(|e| self.failed(e.into()))
     }
@@ -199,6 +294,16 @@
     }
 }
 
+fn sealed(of: &impl Serialize) -> Vec<u8> {
+    // Plain fields always have a JSON form.
+    seal(FORM, &serde_json::to_vec(of).unwrap_or_default())
+}
+
+fn unsealed<T: DeserializeOwned>(record: &[u8]) -> Result<T, RecordError> {
+    let (_, content) = open(record)?;
+    serde_json::from_slice(content).map_err(|e| RecordError::Content(e.to_string()))
+}
+
 type Rows<'txn> = redb::Table<'txn, &'static str, &'static [u8]>;
 
 fn opening(path: &Path, e: DatabaseError) -> StateError {
--- a/crates/state/tests/crashes.rs
+++ b/crates/state/tests/crashes.rs
@@ -265,3 +265,53 @@
     assert!(restore(&cut).expect_err("cut").contains("cut off"));
     assert!(restore("{}").expect_err("no dump").starts_with("line 1"));
 }
+
+/// The book of overrides at each write: what was acknowledged is there, with its history and its numbers.
+#[test]
+fn killed_at_every_write_of_an_override() {
+    use rushquay_overrides::{Ask, Book, Effect, Policy, Scope};
+    use rushquay_state::BookChange;
+    let policy = Policy { history: 5, ..Policy::default() };
+    // Sets and lifts in turn; the book after each, and the change that keeps it.
+    let mut book = Book::new(policy);
+    let (mut books, mut changes) = (vec![Book::new(policy)], Vec::new());
+    let mut kept = 0;
+    for step in 0..10u64 {
+        if step.is_multiple_of(3) && step > 0 {
+            let first = book.live().next().map_or(0, |o| o.id);
+            book.lift(first, "ravi", step, None).expect("lifted");
+        } else {
+            let (author, reason) = ("asha".to_owned(), "boiler room".to_owned());
+            let (scope, effect) = (Scope::Zone("surat".into()), Effect::Weight(0.5));
+            let ask = Ask { scope, effect, until: 1_000_000_000_000, author, reason, force: true };
+            book.set(ask, &[], step, None).expect("set");
+        }
+        let mut events: Vec<_> = book.history().take_while(|e| e.number > kept).cloned().collect();
+        events.reverse();
+        kept = events.last().map_or(kept, |e| e.number);
+        let live: Vec<_> = book.live().cloned().collect();
+        let (next, revision) = (book.next_id(), book.revision());
+        let change = BookChange { live: live.clone(), events, next, revision, history: policy.history };
+        changes.push(change);
+        let mut history: Vec<_> = book.history().cloned().collect();
+        history.reverse();
+        books.push(Book::restore(policy, live, history, next, revision));
+    }
+    let run = |disk: &Disk| {
+        let Ok(store) = StateStore::open_backend(disk.clone()) else { return 0 };
+        changes.iter().take_while(|change| store.keep_book(change).is_ok()).count()
+    };
+    let counting = begun();
+    assert_eq!(run(&counting), changes.len());
+    let operations = counting.0.lock().expect("a lock").operations;
+    for left in 0..operations {
+        let disk = begun();
+        disk.0.lock().expect("a lock").left = Some(left);
+        let acknowledged = run(&disk);
+        let found = StateStore::open_backend(disk.after_crash(left)).and_then(|s| s.read_book(policy));
+        let found = format!("{:?}", found.unwrap_or_else(|e| panic!("killed at {left}: {e}")));
+        let mut whole = books.iter().skip(acknowledged).take(2);
+        assert!(whole.any(|b| format!("{b:?}") == found), "killed at {left}: {acknowledged} kept, {found}");
+    }
+    assert!(operations > 50, "{operations} kill points");
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod demo;
+mod overrides;
 mod state;
 
 use clap::{Parser, Subcommand};
@@ -55,6 +56,8 @@
         #[command(subcommand)]
         command: Option<ControlCommand>,
     },
+    /// Operators' overrides on nodes, each with an expiry: set, list, lift, history.
+    Override(overrides::OverrideArgs),
     /// A small installation on loopback: requests, a drain, and how soon each proxy left the node.
     Demo {
         /// End when it has been shown; else Ctrl-C ends it.
@@ -97,6 +100,7 @@
             };
             control(Options { listen, source, admin, settings: settings.clone(), state })
         }
+        Command::Override(args) => threads()?.block_on(overrides::run(args)),
         Command::Demo { once } => threads()?.block_on(async { demo::demo(once, ending()?).await }),
         Command::Check { file } => {
             println!("{}", check::check(&file)?);
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -16,7 +16,8 @@
 
 /// Descriptors that it may hold: a connection, and one that is just ending.
 pub const DESCRIPTORS: usize = 4;
-const TICK: Duration = Duration::from_secs(1);
+/// Overrides end by this clock, also while the control service is lost: within a second of their time.
+const TICK: Duration = Duration::from_millis(250);
 /// A stream that has told nothing for so long has had its say. Danger: what brings a proxy up to date may come in many
 /// answers; taken for settled after the first, an old control service would be believed in the second.
 const SETTLED_AFTER: Duration = Duration::from_secs(3);
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -3,6 +3,7 @@
 mod catching_up;
 mod fleet;
 mod link;
+mod overrides;
 mod peers;
 mod program;
 mod restarts;
