--- a/examples/control_figures.rs
+++ b/examples/control_figures.rs
@@ -2,6 +2,8 @@
 //!
 //! - `cargo run --release --locked --example control_figures -- drain`: forty proxies with load on them, how soon each
 //!   left a draining node. Ends with 1 where one took 500 ms or more.
+//! - `cargo run --release --locked --example control_figures -- override`: the same where an operator takes nodes out; time
+//!   counts from the command over HTTP, the write to disk included.
 //! - `cargo run --release --locked --example control_figures -- fanout [SUBSCRIBERS [ENDPOINTS]]`: one endpoint
 //!   changed among many, three ways to subscribe. Needs `target/release/rushquay`, which it starts.
 
@@ -44,8 +46,27 @@
 const PROXIES: usize = 40;
 const ROUNDS: usize = 10;
 
-/// Forty proxies that only the control service tells of drains. Returns whether all left in time.
-async fn drain() -> bool {
+/// An operator takes a node out, over the admin address.
+async fn take_out(admin: std::net::SocketAddr, node: &str) {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock").as_nanos();
+    let ask = json!({"scope": {"node": node}, "effect": "out", "until": now as u64 + 3_600_000_000_000u64,
+                     "author": "figures", "reason": "to measure", "force": true});
+    let body = ask.to_string();
+    let request = format!(
+        "POST /v1/overrides HTTP/1.1\r\nHost: admin\r\nIf-Match: *\r\nContent-Type: application/json\r\n\
+         Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = tokio::net::TcpStream::connect(admin).await.expect("connected");
+    stream.write_all(request.as_bytes()).await.expect("written");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 201") && answer.contains("\"durable\":true"), "{answer}");
+}
+
+/// Forty proxies that only the control service tells of drains, or of overrides. Returns whether all left in time.
+async fn drain(by_override: bool) -> bool {
     let mut nodes = Vec::new();
     for i in 0..12 {
         nodes.push(Node::start(&format!("n{i}"), Duration::ZERO).await);
@@ -54,8 +75,16 @@
     let (discovery, behind) = (Discovery::start(1, &list).await, Discovery::start(1, &list).await);
     let any = "127.0.0.1:0".parse().expect("an address");
     let source = SourceOption::Discovery(discovery.addr);
-    let service =
-        start(Options { listen: any, source, admin: None, settings: Settings::default(), state: None }).await;
+    let file = std::env::temp_dir().join(format!("rushquay-figures-{}.redb", std::process::id()));
+    let _ = std::fs::remove_file(&file);
+    let service = start(Options {
+        listen: any,
+        source,
+        admin: Some(any),
+        settings: Settings::default(),
+        state: Some(file.clone()),
+    })
+    .await;
     let service = service.expect("a control service");
     let proxy = |i| {
         let config = proxy_config(&format!("p{i}"), behind.addr, &[service.xds], &list);
@@ -81,12 +110,18 @@
         let prefix = |i: usize| format!("p{i}-");
         let active = (0..PROXIES).filter(|i| node.last(&prefix(*i)).is_some()).count();
         let seq = hub.store().seq();
-        discovery.set(&node.id, "draining");
-        // Learned: when the control service has taken the list; looked for without a pause.
-        while hub.store().seq() == seq {
-            tokio::task::yield_now().await;
-        }
-        let learned = Instant::now();
+        let learned = if by_override {
+            let asked = Instant::now();
+            take_out(service.admin.expect("an admin address"), &node.id).await;
+            asked
+        } else {
+            discovery.set(&node.id, "draining");
+            // Learned: when the control service has taken the list; looked for without a pause.
+            while hub.store().seq() == seq {
+                tokio::task::yield_now().await;
+            }
+            Instant::now()
+        };
         tokio::time::sleep(Duration::from_millis(1200)).await;
         let left = |i: usize| {
             let last = node.last(&prefix(i))?;
@@ -117,6 +152,8 @@
         millis(worst)
     );
     tokio::task::spawn_blocking(move || drop(proxies)).await.expect("ended");
+    drop(service);
+    let _ = std::fs::remove_file(&file);
     worst < Duration::from_millis(500) && answered == asked
 }
 
@@ -316,7 +353,7 @@
     let number = |i: usize| args.get(i).and_then(|a| a.parse::<usize>().ok());
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
     match args.first().map(String::as_str) {
-        Some("drain") => match runtime.block_on(drain()) {
+        Some(how @ ("drain" | "override")) => match runtime.block_on(drain(how == "override")) {
             true => ExitCode::SUCCESS,
             false => ExitCode::FAILURE,
         },
