Give the cut-off proxy's test more time before its override ends

Need: on a machine with fewer cores four seconds may pass before the proxy is cut off, and the test then tells nothing. Change: eight seconds.

--- a/tests/control/overrides.rs
+++ b/tests/control/overrides.rs
@@ -108,18 +108,18 @@
     let proxy = proxy("p", own.addr, &[link.addr], &ready(&fleet));
     all_taken(&service, 1).await;
     let set = Instant::now();
-    let (well, text) = say(&service, "set --node b --out --for 4s --reason short").await;
+    let (well, text) = say(&service, "set --node b --out --for 8s --reason short").await;
     assert!(well, "{text}");
     all_taken(&service, 1).await;
     link.cut();
     own.down(true);
     assert_eq!(served(&proxy).await, ["a", "c", "d"]);
-    assert!(set.elapsed() < Duration::from_secs(4), "too slow to tell anything");
+    assert!(set.elapsed() < Duration::from_secs(8), "too slow to tell anything");
     let before = fleet[1].count();
     let load = rushquay_standins::Load::start(proxy.addr, "load", 4, Duration::from_millis(2));
     until("it is sent to again", || fleet[1].count() > before).await;
     let after = set.elapsed();
-    assert!(after >= Duration::from_millis(3900), "sent to after {after:?}");
+    assert!(after >= Duration::from_millis(7900), "sent to after {after:?}");
     let outcomes = load.stop().await;
     assert_eq!((outcomes.lost, outcomes.failed, outcomes.served), (0, 0, outcomes.asked));
 }
