--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -19,6 +19,23 @@
 /// How long a step may take before the test is given up: far longer than any takes.
 const LONG: Duration = Duration::from_secs(60);
 
+/// A place for a control service's state, empty at first and at the end.
+struct File(std::path::PathBuf);
+
+impl File {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("rushquay-{name}-{}.redb", std::process::id()));
+        let _ = std::fs::remove_file(&path);
+        File(path)
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
 /// Waits until something holds.
 async fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let start = Instant::now();
--- a/tests/control/overrides.rs
+++ b/tests/control/overrides.rs
@@ -2,25 +2,9 @@
 
 use super::link::Link;
 use super::*;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::Command;
 
-struct File(PathBuf);
-
-impl File {
-    fn new(name: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("rushquay-{name}-{}.redb", std::process::id()));
-        let _ = std::fs::remove_file(&path);
-        File(path)
-    }
-}
-
-impl Drop for File {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.0);
-    }
-}
-
 async fn service(discovery: SocketAddr, state: Option<&Path>) -> ControlService {
     let source = SourceOption::Discovery(discovery);
     let any = "127.0.0.1:0".parse().expect("an address");
--- a/tests/control/restarts.rs
+++ b/tests/control/restarts.rs
@@ -177,22 +177,6 @@
     start(Options { state: Some(file.into()), ..options(source) }).await.expect("a control service")
 }
 
-struct File(std::path::PathBuf);
-
-impl File {
-    fn new(name: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("rushquay-{name}-{}.redb", std::process::id()));
-        let _ = std::fs::remove_file(&path);
-        File(path)
-    }
-}
-
-impl Drop for File {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.0);
-    }
-}
-
 /// Entries last told in several lists; a control service that starts anew has them all from the newest, and sends
 /// nothing again, since it kept where each is from.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
