--- /dev/null
+++ b/crates/etcd/tests/shared.rs
@@ -0,0 +1,158 @@
+//! Leases and state in etcd, against the stand-in.
+
+use rushquay_etcd::{EtcdShared, Prefix};
+use rushquay_etcd_standin::Etcd;
+use rushquay_nodes::{Member, NodeState, Stated};
+use rushquay_overrides::{Book, Effect, Event, EventKind, Override, Policy, Scope};
+use rushquay_state::{BookChange, Campaign, Change, Held, SharedError, SharedState};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const TTL: Duration = Duration::from_secs(1);
+const LONG: Duration = Duration::from_secs(30);
+
+fn instance(etcd: &Etcd) -> Arc<EtcdShared> {
+    let prefix = Prefix::new("/rushquay").expect("a prefix");
+    Arc::new(EtcdShared::new(&[etcd.endpoint()], prefix, Duration::from_millis(500)).expect("a client"))
+}
+
+async fn on<T: Send + 'static>(
+    shared: &Arc<EtcdShared>,
+    does: impl FnOnce(&EtcdShared) -> T + Send + 'static,
+) -> T {
+    let shared = shared.clone();
+    tokio::task::spawn_blocking(move || does(&shared)).await.expect("it ended")
+}
+
+async fn won(shared: &Arc<EtcdShared>, me: &'static str) -> Held {
+    let start = Instant::now();
+    loop {
+        match on(shared, move |s| s.campaign(me, TTL)).await {
+            Ok(Campaign::Won(held)) => return held,
+            other => assert!(start.elapsed() < LONG, "{other:?}"),
+        }
+        on(shared, |s| s.wait(Duration::from_millis(200))).await;
+    }
+}
+
+fn stated(i: usize) -> Stated {
+    let member = Member {
+        id: format!("cache-{i:04}"),
+        addr: None,
+        zone: "rajkot".into(),
+        kind: "k".into(),
+        cell: 0,
+        state: NodeState::Draining,
+        weight: 1.0,
+        started: 7,
+    };
+    Stated { member, listed: 41, shared: true, imposed: Default::default() }
+}
+
+fn one(id: u64) -> Override {
+    let (author, reason) = ("asha".into(), "boiler".into());
+    Override { id, scope: Scope::Node("a".into()), effect: Effect::Out, since: 1, until: 2, author, reason }
+}
+
+fn change(live: Vec<Override>, events: std::ops::RangeInclusive<u64>, history: usize) -> BookChange {
+    let event = |number| Event { number, at: 1, kind: EventKind::Set, by: "asha".into(), what: one(number) };
+    let next = *events.end() + 1;
+    BookChange { live, events: events.map(event).collect(), next, revision: next, history }
+}
+
+fn ids(book: &Book) -> Vec<u64> {
+    book.live().map(|o| o.id).collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_leads_until_its_lease_ends_and_then_writes_nothing() {
+    let etcd = Etcd::start().await;
+    let (a, b) = (instance(&etcd), instance(&etcd));
+    let old = won(&a, "a").await;
+    let taken = on(&b, |s| s.campaign("b", TTL)).await.expect("an answer");
+    assert_eq!(taken, Campaign::Taken { by: "a".into() });
+    on(&a, move |s| s.keep(old, &Change { version: Some(41), ..Change::default() })).await.expect("kept");
+    // The old leader is paused: nobody renews.
+    let new = won(&b, "b").await;
+    assert!(new.epoch > old.epoch, "{new:?} after {old:?}");
+    let change = Change { version: Some(42), ..Change::default() };
+    let late = on(&a, move |s| s.keep(old, &change)).await;
+    assert!(matches!(late, Err(SharedError::Fenced(_))), "{late:?}");
+    assert!(matches!(on(&a, move |s| s.renew(old)).await, Err(SharedError::Fenced(_))));
+    let (saved, _) = on(&b, |s| s.load(Policy::default())).await.expect("read");
+    assert_eq!(saved.version, Some(41));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lease_that_is_given_back_is_had_at_once() {
+    let etcd = Etcd::start().await;
+    let (a, b) = (instance(&etcd), instance(&etcd));
+    let held = match on(&a, |s| s.campaign("a", Duration::from_secs(60))).await.expect("an answer") {
+        Campaign::Won(held) => held,
+        other => panic!("{other:?}"),
+    };
+    let waiting = {
+        let b = b.clone();
+        tokio::spawn(async move { on(&b, |s| s.wait(LONG)).await })
+    };
+    on(&a, move |s| s.resign(held)).await.expect("given back");
+    tokio::time::timeout(LONG / 2, waiting).await.expect("told before the wait was over").expect("it ended");
+    assert!(won(&b, "b").await.epoch > held.epoch);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_campaign_whose_answer_was_lost_is_gone_on_with() {
+    let etcd = Etcd::start().await;
+    let a = instance(&etcd);
+    // Grant, transaction: the second is carried out and its answer lost.
+    let first = on(&a, |s| s.campaign("a", TTL)).await.expect("an answer");
+    let Campaign::Won(held) = first else { panic!("{first:?}") };
+    etcd.lose_answers(1);
+    let lost = on(&a, move |s| s.keep(held, &Change { version: Some(7), ..Change::default() })).await;
+    assert!(matches!(lost, Err(SharedError::Unreachable(_))), "{lost:?}");
+    // Asked again under the same lease it is the leader still, in the same epoch.
+    let again = on(&a, |s| s.campaign("a", TTL)).await.expect("an answer");
+    assert_eq!(again, Campaign::Won(held));
+    // What was not acknowledged is whole.
+    let (saved, _) = on(&a, |s| s.load(Policy::default())).await.expect("read");
+    assert_eq!(saved.version, Some(7));
+    etcd.away(true);
+    assert!(matches!(on(&a, move |s| s.renew(held)).await, Err(SharedError::Unreachable(_))));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn more_than_a_transaction_takes_is_kept_and_read_in_pages() {
+    let etcd = Etcd::start().await;
+    let a = instance(&etcd);
+    let held = won(&a, "a").await;
+    let set: Vec<Stated> = (0..2300).map(stated).collect();
+    let expected = set.clone();
+    let before = etcd.transactions();
+    on(&a, move |s| s.keep(held, &Change { version: Some(41), set, ..Change::default() }))
+        .await
+        .expect("kept");
+    assert_eq!(etcd.transactions() - before, 24);
+    let (saved, _) = on(&a, |s| s.load(Policy::default())).await.expect("read");
+    assert_eq!((saved.version, saved.nodes.len()), (Some(41), 2300));
+    assert!(saved.nodes == expected);
+    let gone = Change { gone: vec!["cache-0003".into()], ..Change::default() };
+    on(&a, move |s| s.keep(held, &gone)).await.expect("kept");
+    assert_eq!(etcd.keys("/rushquay/nodes/"), 2299);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_book_is_kept_and_its_history_is_bounded() {
+    let etcd = Etcd::start().await;
+    let a = instance(&etcd);
+    let held = won(&a, "a").await;
+    let kept = change(vec![one(1), one(2)], 1..=2, 5);
+    on(&a, move |s| s.keep_book(held, &kept)).await.expect("kept");
+    for number in 3..=20 {
+        let kept = change(vec![one(2), one(number)], number..=number, 5);
+        on(&a, move |s| s.keep_book(held, &kept)).await.expect("kept");
+    }
+    let (_, book) = on(&a, |s| s.load(Policy::default())).await.expect("read");
+    assert_eq!((ids(&book), book.revision(), book.next_id()), (vec![2, 20], 21, 21));
+    assert_eq!(book.history().map(|e| e.number).collect::<Vec<_>>(), [20, 19, 18, 17, 16]);
+    assert_eq!(etcd.keys("/rushquay/history/"), 5);
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -3,9 +3,11 @@
 #![forbid(unsafe_code)]
 
 mod record;
+mod shared;
 mod store;
 mod text;
 
 pub use record::{Kept, RecordError, FORM};
-pub use store::{BookChange, Change, Saved, StateError, StateStore};
+pub use shared::{Campaign, Held, SharedError, SharedFile, SharedState};
+pub use store::{sealed, unsealed, BookChange, Change, Saved, StateError, StateStore};
 pub use text::{dump, restore};
--- a/crates/state/src/record.rs
+++ b/crates/state/src/record.rs
@@ -132,12 +132,17 @@
 }
 
 impl Kept {
-    pub(crate) fn record(&self) -> Vec<u8> {
+    /// As a record of the present form.
+    pub fn record(&self) -> Vec<u8> {
         // Plain fields always have a JSON form.
         seal(FORM, &serde_json::to_vec(self).unwrap_or_default())
     }
 
-    pub(crate) fn read(record: &[u8]) -> Result<Kept, RecordError> {
+    /// Reads a record, brought up from an earlier form where it is of one.
+    ///
+    /// # Errors
+    /// Damage, a later form, or other content.
+    pub fn read(record: &[u8]) -> Result<Kept, RecordError> {
         let (form, content) = open(record)?;
         let fault = |e: serde_json::Error| RecordError::Content(e.to_string());
         if form >= 2 {
--- /dev/null
+++ b/crates/state/src/shared.rs
@@ -0,0 +1,191 @@
+//! State that several instances share, one of which writes at a time: a lease decides which.
+
+use crate::store::LeaseRecord;
+use crate::{BookChange, Change, Saved, StateError, StateStore};
+use rushquay_overrides::{Book, Policy};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+/// A lease that was won.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// Its epoch, higher than those of all leases before it.
+    pub epoch: u64,
+    /// The store's own name for it.
+    pub lease: i64,
+}
+
+/// What came of asking for the lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Campaign {
+    /// It is this instance's.
+    Won(Held),
+    /// Another has it.
+    Taken {
+        /// Who, as it calls itself.
+        by: String,
+    },
+}
+
+/// Why a shared store did not do what it was asked for.
+#[derive(Debug, thiserror::Error)]
+pub enum SharedError {
+    /// The lease is over or another's. Nothing was written, and nothing will be under this lease.
+    #[error("the lease of epoch {0} is over: another instance leads or soon will")]
+    Fenced(u64),
+    /// It can't be reached, or did not answer in time: what was to be written may be there or not.
+    #[error("{0}; the lease is kept for as long as it lasts")]
+    Unreachable(String),
+    /// It answers, and with a fault.
+    #[error(transparent)]
+    State(#[from] StateError),
+}
+
+/// Leases and state that several instances share. Calls wait for the store, so they belong on threads of their own.
+///
+/// Every write is bound to the lease: where it is over when the write is made, nothing is written
+/// ([`SharedError::Fenced`]). Danger: checked before the write and apart from it, a pause between the two would let an
+/// instance that no longer leads overwrite what its successor has written.
+pub trait SharedState: Send + Sync {
+    /// What it is and where, for people.
+    fn name(&self) -> String;
+    /// Asks for the lease for `me`, for so long from now.
+    ///
+    /// # Errors
+    /// See [`SharedError`]. Where it is unreachable the lease may have been given; it then ends by itself.
+    fn campaign(&self, me: &str, ttl: Duration) -> Result<Campaign, SharedError>;
+    /// Lets the lease run for its whole time again.
+    ///
+    /// # Errors
+    /// See [`SharedError`].
+    fn renew(&self, held: Held) -> Result<(), SharedError>;
+    /// Gives the lease back, so that another need not wait for its end.
+    ///
+    /// # Errors
+    /// See [`SharedError`].
+    fn resign(&self, held: Held) -> Result<(), SharedError>;
+    /// Waits until the lease may be free, or so long.
+    fn wait(&self, most: Duration);
+    /// Reads all that is kept.
+    ///
+    /// # Errors
+    /// See [`SharedError`].
+    fn load(&self, policy: Policy) -> Result<(Saved, Book), SharedError>;
+    /// Keeps a change of node knowledge.
+    ///
+    /// # Errors
+    /// See [`SharedError`].
+    fn keep(&self, held: Held, change: &Change) -> Result<(), SharedError>;
+    /// Keeps the book of overrides.
+    ///
+    /// # Errors
+    /// See [`SharedError`].
+    fn keep_book(&self, held: Held, change: &BookChange) -> Result<(), SharedError>;
+}
+
+/// Another instance holds the file for as long as one of its calls takes.
+const TURN: Duration = Duration::from_secs(2);
+const TURN_AGAIN: Duration = Duration::from_millis(2);
+/// The file is looked at so often for a lease that was given back.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Instances on one machine share a file. Each call holds it, alone, for as long as it takes: the file's lock is the
+/// kernel's, so that a process that dies leaves nothing locked.
+pub struct SharedFile {
+    path: PathBuf,
+    clock: Box<dyn Fn() -> u64 + Send + Sync>,
+    boot: String,
+    ttl: std::sync::atomic::AtomicU64,
+}
+
+impl SharedFile {
+    /// Shares this file. `clock` must be the same for all processes of the machine and count while it is suspended, in
+    /// nanoseconds; `boot` names the machine's present start: a lease from before it is over.
+    pub fn new(path: &Path, boot: &str, clock: impl Fn() -> u64 + Send + Sync + 'static) -> Self {
+        let ttl = std::sync::atomic::AtomicU64::new(0);
+        SharedFile { path: path.to_owned(), clock: Box::new(clock), boot: boot.to_owned(), ttl }
+    }
+
+    fn open(&self) -> Result<StateStore, SharedError> {
+        let start = Instant::now();
+        loop {
+            match StateStore::open(&self.path) {
+                Err(StateError::Locked(_)) if start.elapsed() < TURN => std::thread::sleep(TURN_AGAIN),
+                Err(e @ StateError::Locked(_)) => return Err(SharedError::Unreachable(e.to_string())),
+                other => return Ok(other?),
+            }
+        }
+    }
+
+    fn live(&self, record: &LeaseRecord) -> bool {
+        record.boot == self.boot && (self.clock)() < record.until
+    }
+
+    /// Does something while the lease is held, and nobody else can take it.
+    fn under<T>(
+        &self,
+        held: Held,
+        does: impl FnOnce(&StateStore, LeaseRecord) -> Result<T, StateError>,
+    ) -> Result<T, SharedError> {
+        let store = self.open()?;
+        match store.lease()?.filter(|r| r.epoch == held.epoch && self.live(r)) {
+            Some(record) => Ok(does(&store, record)?),
+            None => Err(SharedError::Fenced(held.epoch)),
+        }
+    }
+}
+
+impl SharedState for SharedFile {
+    fn name(&self) -> String {
+        format!("file {}", self.path.display())
+    }
+
+    fn campaign(&self, me: &str, ttl: Duration) -> Result<Campaign, SharedError> {
+        let ttl = ttl.as_nanos() as u64;
+        self.ttl.store(ttl, std::sync::atomic::Ordering::Relaxed);
+        let store = self.open()?;
+        let before = store.lease()?;
+        if let Some(other) = before.as_ref().filter(|r| self.live(r)) {
+            return Ok(Campaign::Taken { by: other.holder.clone() });
+        }
+        let epoch = before.map_or(1, |r| r.epoch + 1);
+        let until = (self.clock)().saturating_add(ttl);
+        store.set_lease(&LeaseRecord { holder: me.to_owned(), epoch, until, boot: self.boot.clone() })?;
+        Ok(Campaign::Won(Held { epoch, lease: 0 }))
+    }
+
+    fn renew(&self, held: Held) -> Result<(), SharedError> {
+        let ttl = self.ttl.load(std::sync::atomic::Ordering::Relaxed);
+        let until = (self.clock)().saturating_add(ttl);
+        self.under(held, |store, record| store.set_lease(&LeaseRecord { until, ..record }))
+    }
+
+    fn resign(&self, held: Held) -> Result<(), SharedError> {
+        // The epoch stays: the next is higher.
+        self.under(held, |store, record| store.set_lease(&LeaseRecord { until: 0, ..record }))
+    }
+
+    fn wait(&self, most: Duration) {
+        let start = Instant::now();
+        while start.elapsed() < most {
+            std::thread::sleep(LOOK.min(most));
+            let lease = self.open().and_then(|store| Ok(store.lease()?));
+            if lease.is_ok_and(|r| r.is_none_or(|r| !self.live(&r))) {
+                return;
+            }
+        }
+    }
+
+    fn load(&self, policy: Policy) -> Result<(Saved, Book), SharedError> {
+        let store = self.open()?;
+        Ok((store.read()?, store.read_book(policy)?))
+    }
+
+    fn keep(&self, held: Held, change: &Change) -> Result<(), SharedError> {
+        self.under(held, |store, _| store.keep(change))
+    }
+
+    fn keep_book(&self, held: Held, change: &BookChange) -> Result<(), SharedError> {
+        self.under(held, |store, _| store.keep_book(change))
+    }
+}
--- a/crates/state/src/store.rs
+++ b/crates/state/src/store.rs
@@ -19,6 +19,8 @@
 const BOOK: &str = "book";
 /// Version of the list last taken.
 const VERSION: &str = "version";
+/// Who leads.
+const LEASE: &str = "lease";
 /// Memory for pages; a fleet's records are some hundred kilobytes.
 const CACHE: usize = 4 << 20;
 
@@ -69,6 +71,19 @@
     revision: u64,
 }
 
+/// Who leads, where instances share the file.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct LeaseRecord {
+    /// As it calls itself.
+    pub holder: String,
+    pub epoch: u64,
+    /// Until when, on the machine's clock that all instances read.
+    pub until: u64,
+    /// The machine's start in which that clock counts.
+    pub boot: String,
+}
+
 /// What is to be kept of a book of overrides, in one transaction.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct BookChange {
@@ -274,6 +289,24 @@
         read().map_err(|e| self.failed(e))?
     }
 
+    pub(crate) fn lease(&self) -> Result<Option<LeaseRecord>, StateError> {
+        let read = || -> Result<Option<Result<LeaseRecord, RecordError>>, redb::Error> {
+            let meta = self.db.begin_read()?.open_table(META)?;
+            Ok(meta.get(LEASE)?.map(|record| unsealed(record.value())))
+        };
+        let fault = |fault| StateError::Record {
+            path: self.path.clone(),
+            table: "meta",
+            key: LEASE.to_owned(),
+            fault,
+        };
+        read().map_err(|e| self.failed(e))?.transpose().map_err(fault)
+    }
+
+    pub(crate) fn set_lease(&self, lease: &LeaseRecord) -> Result<(), StateError> {
+        self.write(|_, meta| meta.insert(LEASE, sealed(lease).as_slice()).map(drop))
+    }
+
     fn write(
         &self,
         change: impl FnOnce(&mut Rows<'_>, &mut Rows<'_>) -> Result<(), StorageError>,
@@ -294,12 +327,17 @@
     }
 }
 
-fn sealed(of: &impl Serialize) -> Vec<u8> {
+/// Puts anything that has a JSON form into a record of the present form.
+pub fn sealed(of: &impl Serialize) -> Vec<u8> {
     // Plain fields always have a JSON form.
     seal(FORM, &serde_json::to_vec(of).unwrap_or_default())
 }
 
-fn unsealed<T: DeserializeOwned>(record: &[u8]) -> Result<T, RecordError> {
+/// Reads such a record.
+///
+/// # Errors
+/// Damage, a later form, or other content.
+pub fn unsealed<T: DeserializeOwned>(record: &[u8]) -> Result<T, RecordError> {
     let (_, content) = open(record)?;
     serde_json::from_slice(content).map_err(|e| RecordError::Content(e.to_string()))
 }
--- /dev/null
+++ b/crates/state/tests/shared.rs
@@ -0,0 +1,103 @@
+//! A file that instances on one machine share: who leads, and that nobody else writes.
+
+use rushquay_overrides::Policy;
+use rushquay_state::{Campaign, Change, Held, SharedError, SharedFile, SharedState};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+const TTL: Duration = Duration::from_secs(5);
+
+struct Rig {
+    path: PathBuf,
+    now: Arc<AtomicU64>,
+}
+
+impl Rig {
+    fn new(name: &str) -> Rig {
+        let path = std::env::temp_dir().join(format!("rushquay-shared-{name}-{}.redb", std::process::id()));
+        let _ = std::fs::remove_file(&path);
+        Rig { path, now: Arc::new(AtomicU64::new(1)) }
+    }
+
+    fn instance(&self, boot: &str) -> SharedFile {
+        let now = self.now.clone();
+        SharedFile::new(&self.path, boot, move || now.load(Ordering::Relaxed))
+    }
+
+    fn pass(&self, time: Duration) {
+        self.now.fetch_add(time.as_nanos() as u64, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+fn won(campaign: Result<Campaign, SharedError>) -> Held {
+    match campaign.expect("an answer") {
+        Campaign::Won(held) => held,
+        Campaign::Taken { by } => panic!("taken by {by}"),
+    }
+}
+
+fn version(number: u64) -> Change {
+    Change { version: Some(number), ..Change::default() }
+}
+
+#[test]
+fn an_old_leader_that_wakes_up_writes_nothing() {
+    let rig = Rig::new("fenced");
+    let (a, b) = (rig.instance("boot"), rig.instance("boot"));
+    let old = won(a.campaign("a", TTL));
+    a.keep(old, &version(41)).expect("kept");
+    assert_eq!(b.campaign("b", TTL).expect("an answer"), Campaign::Taken { by: "a".into() });
+    // Paused for minutes, while nobody took over: its lease is over all the same.
+    rig.pass(Duration::from_secs(180));
+    assert!(matches!(a.keep(old, &version(42)), Err(SharedError::Fenced(1))));
+    let new = won(b.campaign("b", TTL));
+    assert!(new.epoch > old.epoch);
+    b.keep(new, &version(50)).expect("kept");
+    assert!(matches!(a.keep(old, &version(43)), Err(SharedError::Fenced(1))));
+    assert!(matches!(a.renew(old), Err(SharedError::Fenced(1))));
+    assert!(matches!(a.resign(old), Err(SharedError::Fenced(1))));
+    let (saved, _) = a.load(Policy::default()).expect("read");
+    assert_eq!(saved.version, Some(50));
+}
+
+#[test]
+fn a_lease_is_renewed_given_back_and_over_after_a_start_of_the_machine() {
+    let rig = Rig::new("terms");
+    let (a, b) = (rig.instance("boot"), rig.instance("boot"));
+    let held = won(a.campaign("a", TTL));
+    rig.pass(TTL - Duration::from_secs(1));
+    a.renew(held).expect("renewed");
+    rig.pass(TTL - Duration::from_secs(1));
+    assert_eq!(b.campaign("b", TTL).expect("an answer"), Campaign::Taken { by: "a".into() });
+    a.resign(held).expect("given back");
+    let next = won(b.campaign("b", TTL));
+    assert_eq!(next.epoch, held.epoch + 1);
+    // The machine started anew: its clock did as well.
+    rig.now.store(1, Ordering::Relaxed);
+    let c = rig.instance("another boot");
+    assert_eq!(won(c.campaign("c", TTL)).epoch, next.epoch + 1);
+}
+
+#[test]
+fn instances_at_a_time_take_turns_and_one_wins() {
+    let rig = Rig::new("turns");
+    let won: usize = std::thread::scope(|scope| {
+        let ask = |name: &'static str| {
+            let instance = rig.instance("boot");
+            scope.spawn(move || {
+                let asked = (0..5).map(|_| instance.campaign(name, TTL).expect("an answer"));
+                asked.filter(|c| matches!(c, Campaign::Won(_))).count()
+            })
+        };
+        ["a", "b", "c", "d"].map(ask).into_iter().map(|t| t.join().expect("it ended")).sum()
+    });
+    assert_eq!(won, 1);
+}
