--- a/crates/control-service/src/api.rs
+++ b/crates/control-service/src/api.rs
@@ -7,7 +7,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{delete, get};
 use axum::{Json, Router};
-use rushquay_overrides::{decide, Ask, Override, Refusal, Standing};
+use rushquay_overrides::{decide, masked_pins, Ask, Override, Refusal, Standing};
 use serde::Deserialize;
 use serde_json::{json, Value};
 use std::collections::BTreeSet;
@@ -61,15 +61,20 @@
     let fleet = shared.control.lock().unwrap_or_else(std::sync::PoisonError::into_inner).fleet();
     let (now, book) = (shared.wall(), shared.book());
     let on: Vec<(u64, Standing)> = fleet.iter().flat_map(|n| decide(book.live(), &n.node(), now).1).collect();
+    let pins = masked_pins(book.live(), now);
     let one = |o: &Override| {
         let stands = || on.iter().filter(|(id, _)| *id == o.id);
-        let masked_by: BTreeSet<u64> = stands()
+        let mut masked_by: BTreeSet<u64> = stands()
             .filter_map(|(_, s)| match s {
                 Standing::Masked(by) => Some(*by),
                 Standing::InForce => None,
             })
             .collect();
-        let masked = stands().filter(|(_, s)| *s != Standing::InForce).count();
+        let mut masked = stands().filter(|(_, s)| *s != Standing::InForce).count();
+        if let Some((_, by)) = pins.iter().find(|(id, _)| *id == o.id) {
+            masked = stands().count();
+            masked_by.insert(*by);
+        }
         let mut shown = json!(o);
         shown["nodes"] = json!(stands().count());
         shown["masked_on"] = json!(masked);
--- a/crates/nodes/src/imposed.rs
+++ b/crates/nodes/src/imposed.rs
@@ -1,6 +1,6 @@
 //! What an operator's overrides impose on a node.
 
-use crate::Nanos;
+use crate::{Nanos, Pin};
 
 /// What is imposed on a node, in a form that whoever holds it can apply and let expire without asking again. Times are
 /// Unix time in nanoseconds.
@@ -10,6 +10,8 @@
     pub out: (Nanos, Nanos),
     /// Factors on its weight with their ends, the one that counts first; each counts once those before it have ended.
     pub weights: Vec<(Nanos, f64)>,
+    /// Keys and classes that are bound to it.
+    pub pins: Vec<Pin>,
     /// A node that was out for so long comes back with a cold cache, in nanoseconds.
     pub cold_after: Nanos,
     /// Whether it is out, and the factor, by the clock of who declares it: for clients that know nothing of all this.
@@ -46,6 +48,6 @@
 
     /// Whether there is nothing.
     pub fn is_empty(&self) -> bool {
-        self.out == (0, 0) && self.weights.is_empty()
+        self.out == (0, 0) && self.weights.is_empty() && self.pins.is_empty()
     }
 }
--- a/crates/nodes/src/lib.rs
+++ b/crates/nodes/src/lib.rs
@@ -9,12 +9,14 @@
 mod imposed;
 mod member;
 mod merge;
+mod pins;
 
 pub use check::{check_list, ListFault};
 pub use cursor::Cursor;
 pub use imposed::Imposed;
 pub use member::{Member, Members, NodeState};
 pub use merge::{Changes, Merge, MergeLimits, News, Source, Stated, View};
+pub use pins::{Pin, Pins};
 
 /// A point in time or a span, in nanoseconds.
 pub type Nanos = u64;
--- a/crates/nodes/src/merge.rs
+++ b/crates/nodes/src/merge.rs
@@ -17,7 +17,7 @@
 //!    only restricts: out of service counts as draining, a factor goes on the weight, and a node that comes back with a
 //!    cold cache counts as started then. It ends by the clock, whoever can be reached.
 
-use crate::{Imposed, Member, Members, Nanos, NodeState};
+use crate::{Imposed, Member, Members, Nanos, NodeState, Pin};
 use std::collections::{BTreeSet, HashMap};
 
 /// Who says something about nodes. The order is that of precedence for addresses.
@@ -230,6 +230,13 @@
         self.merged.values().map(|(member, decided)| View { member, decided: *decided })
     }
 
+    /// What is bound to which node. A node that no list names has no pins.
+    pub fn pins(&self) -> impl Iterator<Item = (&str, &Pin)> {
+        let said = self.tables[Source::Control as usize].said.iter();
+        let named = said.filter(|(id, _)| self.merged.contains_key(*id));
+        named.flat_map(|(id, said)| said.imposed.pins.iter().map(move |pin| (id.as_str(), pin)))
+    }
+
     /// Whether a source can't be reached.
     pub fn is_lost(&self, source: Source) -> bool {
         self.tables[source as usize].lost
--- a/crates/nodes/tests/merge.rs
+++ b/crates/nodes/tests/merge.rs
@@ -287,7 +287,7 @@
         out: (S, 100 * S),
         weights: vec![(50 * S, 0.5), (200 * S, 0.25)],
         cold_after: 60 * S,
-        present: None,
+        ..Imposed::default()
     };
     let changes = merge.control("one", News::Whole(vec![stated(imposed)]), 2 * S);
     let seen =
--- a/crates/overrides/src/book.rs
+++ b/crates/overrides/src/book.rs
@@ -7,6 +7,8 @@
 
 /// Longest author and reason, in bytes.
 const TEXT_MOST: usize = 500;
+/// Pins at once.
+const PINS_MOST: usize = 100;
 
 /// What somebody asks for.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
@@ -167,12 +169,33 @@
             let hours = self.policy.longest as f64 / (3600.0 * SECOND as f64);
             return field("until", &format!("expected {hours:.1} hours from now at most"));
         }
-        if let Effect::Weight(factor) = ask.effect {
-            if !(factor > 0.0 && factor <= 10.0) {
-                return field(
-                    "effect.weight",
-                    "expected a factor over 0, at most 10; to send nothing take it out",
-                );
+        match &ask.effect {
+            Effect::Out => {}
+            Effect::Weight(factor) => {
+                if !(*factor > 0.0 && *factor <= 10.0) {
+                    return field(
+                        "effect.weight",
+                        "expected a factor over 0, at most 10; to send nothing take it out",
+                    );
+                }
+            }
+            Effect::Pinned { class, keys } => {
+                if !matches!(ask.scope, Scope::Node(_)) {
+                    return field("scope", "a pin is to one node: expected a node");
+                }
+                let named =
+                    |text: &Option<String>| text.as_ref().is_none_or(|t| (1..=TEXT_MOST).contains(&t.len()));
+                if class.is_none() && keys.is_none() || !named(class) || !named(keys) {
+                    return field("effect.pinned", "expected a class, keys (such as boiler-*) or both");
+                }
+                if keys.as_ref().is_some_and(|k| k.trim_end_matches('*').contains('*') || k.ends_with("**")) {
+                    return field("effect.pinned.keys", "expected one *, at the end");
+                }
+                let pins = self.live.values().filter(|o| matches!(o.effect, Effect::Pinned { .. })).count();
+                // Danger: each request is held against all of them.
+                if pins >= PINS_MOST {
+                    return Err(Refusal::Full(pins));
+                }
             }
         }
         let empty = |text: &String| text.is_empty();
--- a/crates/overrides/src/decide.rs
+++ b/crates/overrides/src/decide.rs
@@ -1,7 +1,7 @@
 //! What overrides come to on one node.
 
 use crate::{Effect, Nanos, Node, Override};
-use rushquay_nodes::Imposed;
+use rushquay_nodes::{Imposed, Pin};
 
 /// How an override stands on a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -12,6 +12,17 @@
     Masked(u64),
 }
 
+/// Of pins of the same keys and class on different nodes the one set last counts; which are masked, and by which.
+pub fn masked_pins<'a>(overrides: impl Iterator<Item = &'a Override> + Clone, now: Nanos) -> Vec<(u64, u64)> {
+    let live = || overrides.clone().filter(|o| o.since <= now && o.until > now);
+    let pin = |o: &&Override| matches!(o.effect, Effect::Pinned { .. });
+    let later = |o: &Override| {
+        let alike = live().filter(pin).filter(|l| l.effect == o.effect && l.scope != o.scope && l.id > o.id);
+        alike.map(|l| l.id).max()
+    };
+    live().filter(pin).filter_map(|o| Some((o.id, later(o)?))).collect()
+}
+
 /// What the overrides that are in force at this time come to on a node, and how each that is on it stands, by number.
 pub fn decide<'a>(
     overrides: impl Iterator<Item = &'a Override>,
@@ -32,12 +43,18 @@
     let masks = outs().max_by_key(|o| (o.until, o.id)).map(|o| o.id);
     let mut upper: Option<u64> = masks;
     for o in &on {
-        match o.effect {
+        match &o.effect {
+            Effect::Pinned { class, keys } => {
+                let (class, keys) = (class.clone(), keys.clone());
+                imposed.pins.push(Pin { number: o.id, until: o.until, class, keys });
+                // Nothing is sent to a node that is out, pinned or not.
+                standings.push((o.id, masks.map_or(Standing::InForce, Standing::Masked)));
+            }
             Effect::Out => standings.push((o.id, Standing::InForce)),
             Effect::Weight(factor) => {
                 // One that ends no later than what is above it never counts.
                 if imposed.weights.iter().all(|(until, _)| *until < o.until) {
-                    imposed.weights.push((o.until, factor));
+                    imposed.weights.push((o.until, *factor));
                 }
                 standings.push((o.id, upper.map_or(Standing::InForce, Standing::Masked)));
                 upper = upper.or(Some(o.id));
--- a/crates/overrides/src/lib.rs
+++ b/crates/overrides/src/lib.rs
@@ -1,4 +1,4 @@
-//! Operator overrides on nodes: out of service, or a factor on the weight, each with an expiry, an author and a reason.
+//! Operator overrides on nodes: out of service, a factor on the weight, or keys pinned to one, each with an expiry, an author and a reason.
 //! No I/O; time is an argument.
 //!
 //! # Which of several wins
@@ -9,6 +9,9 @@
 //! | two out of service | both; it ends with the later | nobody's word that it is safe stands for another's |
 //! | two weights | the narrower: node, kind, zone, all | who names a node means it |
 //! | two weights of one scope | the later set | the later knows of the earlier |
+//! | out of service, and a pin to the node | out of service | the pinned keys go where they would without the pin |
+//! | two pins on a request | the narrower: a key, the longer beginning, with a class | who names a key means it |
+//! | two pins of the same keys and class | the later set | the later knows of the earlier |
 //!
 //! What does not win is masked, and takes effect when what masks it ends. No override undoes a drain or brings a node
 //! back that the list does not name: both are applied on top of what the list says, and only ever restrict it.
@@ -20,7 +23,7 @@
 mod types;
 
 pub use book::{Ask, Book, Event, EventKind, Refusal};
-pub use decide::{decide, Standing};
+pub use decide::{decide, masked_pins, Standing};
 pub use guard::{Arithmetic, Fleet};
 pub use rushquay_nodes::Imposed;
 pub use types::{Effect, Nanos, Node, Override, Policy, Scope, SECOND};
--- a/crates/overrides/src/types.rs
+++ b/crates/overrides/src/types.rs
@@ -56,13 +56,22 @@
 }
 
 /// What an override does.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Effect {
     /// Nothing new is sent there.
     Out,
     /// The weight is multiplied by this, over 0 and at most 10.
     Weight(f64),
+    /// Requests of a class, for some keys or both go to the node while it can take them.
+    Pinned {
+        /// The class; `None`: any.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        class: Option<String>,
+        /// A key, or with a `*` at the end all that begin so; `None`: any.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        keys: Option<String>,
+    },
 }
 
 impl std::fmt::Display for Effect {
@@ -70,6 +79,11 @@
         match self {
             Effect::Out => f.write_str("out of service"),
             Effect::Weight(factor) => write!(f, "weight x {factor}"),
+            Effect::Pinned { class, keys } => {
+                f.write_str("pinned")?;
+                class.iter().try_for_each(|c| write!(f, " class {c}"))?;
+                keys.iter().try_for_each(|k| write!(f, " keys {k}"))
+            }
         }
     }
 }
--- a/crates/overrides/tests/book.rs
+++ b/crates/overrides/tests/book.rs
@@ -139,6 +139,39 @@
     assert_eq!(kinds, [(EventKind::Lifted, "ravi"), (EventKind::Set, "asha")]);
 }
 
+#[test]
+fn a_pin_is_to_one_node_and_of_two_alike_the_later_masks() {
+    let mut book = Book::new(Policy::default());
+    let nodes = fleet(&[1.0; 12]);
+    let pinned = |class: Option<&str>, keys: Option<&str>| Effect::Pinned {
+        class: class.map(str::to_owned),
+        keys: keys.map(str::to_owned),
+    };
+    let on = |id: &str| Scope::Node(id.into());
+    for (scope, effect, field) in [
+        (Scope::All, pinned(None, Some("a")), "scope"),
+        (on("cache-07"), pinned(None, None), "effect.pinned"),
+        (on("cache-07"), pinned(None, Some("")), "effect.pinned"),
+        (on("cache-07"), pinned(None, Some("a*b")), "effect.pinned.keys"),
+    ] {
+        let refused = book.set(ask(scope, effect.clone(), 100), &nodes, 0, None);
+        assert!(matches!(&refused, Err(Refusal::Field(name, _)) if *name == field), "{effect}: {refused:?}");
+    }
+    let mut set = |id, effect, until| book.set(ask(on(id), effect, until), &nodes, 0, None).expect("set").id;
+    let first = set("cache-01", pinned(Some("read"), Some("boiler-*")), 100);
+    let second = set("cache-02", pinned(Some("read"), Some("boiler-*")), 50);
+    set("cache-03", pinned(None, Some("boiler-*")), 100);
+    let masked = |now| rushquay_overrides::masked_pins(book.live(), now * SECOND);
+    assert_eq!(masked(10), [(first, second)]);
+    assert_eq!(masked(60), []);
+    // A node that is out gets nothing, pinned or not; the pin stands beneath.
+    let out = book.set(ask(on("cache-01"), Effect::Out, 100), &nodes, 0, None).expect("set").id;
+    let node = Node { id: "cache-01", kind: "k", zone: "z" };
+    let (imposed, stands) = decide(book.live(), &node, SECOND);
+    assert_eq!(imposed.pins.len(), 1);
+    assert!(stands.contains(&(first, Standing::Masked(out))), "{stands:?}");
+}
+
 #[test]
 fn history_and_announcements_are_bounded_and_each_is_announced_once() {
     let mut book = Book::new(Policy { history: 10, ..Policy::default() });
--- a/crates/resources/src/decode.rs
+++ b/crates/resources/src/decode.rs
@@ -184,6 +184,9 @@
     if let Some(text) = own.text("cold_after_ns") {
         imposed.cold_after = text.parse().map_err(|_| "cold_after_ns")?;
     }
+    if let Some(text) = own.text("pins") {
+        imposed.pins = serde_json::from_str(text).map_err(|_| "pins")?;
+    }
     Ok(imposed)
 }
 
--- a/crates/resources/src/encode.rs
+++ b/crates/resources/src/encode.rs
@@ -174,6 +174,8 @@
         ("out_ns", text(format!("{}:{}", imposed.out.0, imposed.out.1))),
         ("factors", text(weights.join(","))),
         ("cold_after_ns", text(imposed.cold_after.to_string())),
+        // Plain fields always have a JSON form.
+        ("pins", text(serde_json::to_string(&imposed.pins).unwrap_or_default())),
     ]
 }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -219,6 +219,8 @@
     pub write: bool,
     /// Its client marked it as a repeat of an earlier try.
     pub retry: bool,
+    /// Where operators want it: asked first while it may be.
+    pub pinned: Option<ServerId>,
 }
 
 /// What happens at the proxy.
--- a/src/cli/overrides.rs
+++ b/src/cli/overrides.rs
@@ -87,14 +87,20 @@
 }
 
 #[derive(Args)]
-#[group(required = true, multiple = false)]
+#[group(required = true, multiple = true)]
 struct What {
     /// Out of service: nothing new is sent there.
-    #[arg(long)]
+    #[arg(long, conflicts_with_all = ["weight", "pin_keys", "pin_class"])]
     out: bool,
     /// A factor on the weight.
-    #[arg(long, value_name = "FACTOR")]
+    #[arg(long, value_name = "FACTOR", conflicts_with_all = ["pin_keys", "pin_class"])]
     weight: Option<f64>,
+    /// Pins these keys to the node: one, or with a * at the end all that begin so.
+    #[arg(long, value_name = "KEYS")]
+    pin_keys: Option<String>,
+    /// Pins a class of requests to the node; with --pin-keys those keys of the class alone.
+    #[arg(long, value_name = "CLASS")]
+    pin_class: Option<String>,
 }
 
 #[derive(Args)]
@@ -154,7 +160,16 @@
                 (.., Some(zone)) => json!({"zone": zone}),
                 _ => json!("all"),
             };
-            let effect = set.what.weight.map_or(json!("out"), |factor| json!({"weight": factor}));
+            let effect = match set.what {
+                What { out: true, .. } => json!("out"),
+                What { weight: Some(factor), .. } => json!({"weight": factor}),
+                What { pin_class, pin_keys, .. } => {
+                    let mut pinned = serde_json::Map::new();
+                    pinned.extend(pin_class.map(|c| ("class".to_owned(), json!(c))));
+                    pinned.extend(pin_keys.map(|k| ("keys".to_owned(), json!(k))));
+                    json!({"pinned": pinned})
+                }
+            };
             let ask = json!({"scope": scope, "effect": effect, "until": set.end.at(&Zoned::now())?,
                              "author": set.author, "reason": set.reason, "force": set.force});
             // What is looked at now is what the change is made on.
@@ -229,6 +244,10 @@
 }
 
 fn effect(of: &Value) -> String {
+    if let Some(pinned) = of["pinned"].as_object() {
+        let told = pinned.iter().map(|(what, name)| format!(" {what} {}", name.as_str().unwrap_or("")));
+        return "pinned".to_owned() + &told.collect::<String>();
+    }
     of["weight"].as_f64().map_or_else(|| "out".into(), |factor| format!("weight x {factor}"))
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -163,6 +163,8 @@
     poor: bool,
     /// Its server will probably fetch it from the origin.
     fetch: bool,
+    /// Asked first while it may be.
+    pinned: Option<ServerId>,
     end: End,
     attempts: Vec<Attempt>,
 }
@@ -329,16 +331,8 @@
                 HEDGE => self.hedge(now, token & (HEDGE - 1), actions),
                 _ => {}
             },
-            Event::Expired(id) => {
-                if let Some(open) = self.close(id) {
-                    self.ended(&open, 0.0);
-                }
-            }
-            Event::First(id) => {
-                if let Some(open) = self.open.get_mut(&id) {
-                    open.streaming = true;
-                }
-            }
+            Event::Expired(id) => self.close(id).iter().for_each(|open| self.ended(open, 0.0)),
+            Event::First(id) => self.open.get_mut(&id).into_iter().for_each(|open| open.streaming = true),
         }
     }
 
@@ -718,6 +712,7 @@
             let lawful = self.open_to(open.class, s) && self.in_group(now, open, s);
             self.ranks(s) && s.suspect_until <= now && lawful && !asked
         };
+        let pinned = open.pinned.and_then(|p| self.by_id.get(&p).copied()).filter(fits);
         let mut order: Vec<u32> = order.into_iter().filter(fits).collect();
         if order.is_empty() {
             // No ranked server will do: any that may be used, nearest first, in the bucket's own order.
@@ -739,6 +734,9 @@
             }
             order.sort_by_key(|i| !open_at(i));
         }
+        if let Some(i) = pinned.filter(|&i| self.cold_allows(now, i, false)) {
+            return Some(i);
+        }
         order.retain(|&i| self.cold_allows(now, i, false));
         let roomy = |i: &&u32| {
             let s = &self.servers[**i as usize];
@@ -870,6 +868,7 @@
             judged: !hopeless,
             poor: false,
             fetch: false,
+            pinned: r.pinned,
             end: End::Late,
             attempts: Vec::new(),
         };
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -7,7 +7,7 @@
 use crate::Balancer;
 use hyper::body::Bytes;
 use hyper::Response;
-use rushquay_nodes::Member;
+use rushquay_nodes::{Member, Pins};
 use rustc_hash::FxHashMap;
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -91,6 +91,8 @@
     upstreams: Rc<Upstreams>,
     watch: mpsc::UnboundedSender<()>,
     myself: Weak<Engine>,
+    /// Where operators want some requests.
+    pins: RefCell<Pins<ServerId>>,
 }
 
 impl Engine {
@@ -108,6 +110,7 @@
             upstreams,
             watch,
             myself: myself.clone(),
+            pins: RefCell::default(),
         });
         engine.list(ListKind::Cached, config.known.as_ref().map_or(&[], |known| &known.servers));
         engine
@@ -117,6 +120,21 @@
         &self.names
     }
 
+    /// Operators want these requests at these nodes.
+    pub fn pin(&self, pins: Pins<ServerId>) {
+        *self.pins.borrow_mut() = pins;
+    }
+
+    /// Where operators want a request. Pins end by themselves, by this proxy's clock at the latest a moment after the
+    /// control service's word that they did.
+    pub fn pinned(&self, class: &str, key: &str) -> Option<ServerId> {
+        let pins = self.pins.borrow();
+        if pins.is_empty() {
+            return None;
+        }
+        pins.find(class, key, self.clock.now()).copied()
+    }
+
     /// Whether a request could be served now.
     pub fn can_serve(&self) -> bool {
         self.upstreams.any_ready()
--- a/src/net/nodes.rs
+++ b/src/net/nodes.rs
@@ -1,9 +1,9 @@
 //! The node list of this proxy: its own discovery's alone, or merged with a control service's.
 
 use super::engine::Engine;
-use crate::api::ListKind;
+use crate::api::{server_id, ListKind, ServerId};
 use rushquay_lease::{Nanos, Skew, SECOND};
-use rushquay_nodes::{Changes, Member, Members, Merge, MergeLimits, News, NodeState, Source};
+use rushquay_nodes::{Changes, Member, Members, Merge, MergeLimits, News, NodeState, Pin, Pins, Source};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -14,6 +14,7 @@
     merge: Option<RefCell<Merge>>,
     /// How far the control service's clock is ahead: what it says of time is on that clock.
     skew: Cell<Skew>,
+    pins: RefCell<Vec<(Pin, ServerId)>>,
     /// Unix time at the start, and the machine's steady clock then.
     start: (Nanos, Nanos),
 }
@@ -36,7 +37,7 @@
             RefCell::new(merge)
         });
         let start = (engine.now(), steady());
-        Rc::new(NodeList { engine, merge, skew: Cell::default(), start })
+        Rc::new(NodeList { engine, merge, skew: Cell::default(), pins: RefCell::default(), start })
     }
 
     /// Unix time by this machine, which never jumps.
@@ -117,6 +118,7 @@
     fn with_merge(&self, change: impl FnOnce(&mut Merge, Nanos) -> Changes) {
         let Some(merge) = &self.merge else { return };
         let changes = change(&mut merge.borrow_mut(), self.told_now());
+        self.pin(&merge.borrow());
         if !changes.is_empty() {
             self.changed(changes);
         }
@@ -128,6 +130,22 @@
         Member { started: member.started.min(self.engine.now()), ..member }
     }
 
+    /// Hands on what operators have pinned, where that has changed.
+    fn pin(&self, merge: &Merge) {
+        let mut now: Vec<(Pin, ServerId)> =
+            merge.pins().map(|(id, pin)| (self.by_own_clock(pin), server_id(id))).collect();
+        now.sort_by_key(|(pin, _)| pin.number);
+        if *self.pins.borrow() != now {
+            self.engine.pin(Pins::new(now.iter().cloned()));
+            *self.pins.borrow_mut() = now;
+        }
+    }
+
+    /// The engine's clock is this machine's.
+    fn by_own_clock(&self, pin: &Pin) -> Pin {
+        Pin { until: pin.until.saturating_add_signed(-self.skew.get().ahead()), ..pin.clone() }
+    }
+
     fn changed(&self, changes: Changes) {
         let gone = changes.gone.into_iter().map(|m| Member { state: NodeState::Gone, ..m });
         let entries: Vec<Member> = gone.chain(changes.upserts).map(|m| self.begun(m)).collect();
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -460,11 +460,13 @@
         })?;
         let tenant = head.headers.get(ACCOUNT).and_then(|a| a.to_str().ok());
         let tenant = tenant.and_then(|a| self.engine.names().tenants.iter().position(|t| t == a));
+        let key_text = parts.next_back().filter(|k| !k.is_empty());
         let request = api::Request {
             id: 0,
             class: class as u32,
             tenant: tenant.map(|t| t as u32),
-            key: parts.next_back().filter(|k| !k.is_empty()).map(key),
+            key: key_text.map(key),
+            pinned: key_text.and_then(|k| self.engine.pinned(name, k)),
             remaining: patience,
             write,
             retry: head.headers.get(REPEAT).is_some_and(|v| v == "1"),
--- a/tests/control/overrides.rs
+++ b/tests/control/overrides.rs
@@ -140,3 +140,45 @@
     all_taken(&second, 1).await;
     assert_eq!(served(&proxy).await, ["b", "c", "d"]);
 }
+
+/// Keys and classes that are pinned to a node go there while it takes work; elsewhere while it drains, and after the end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_is_pinned_goes_to_its_node_while_it_may() {
+    let fleet = nodes(&["a", "b", "c", "d"]).await;
+    let discovery = Discovery::start(41, &ready(&fleet)).await;
+    let service = service(discovery.addr, None).await;
+    let proxy = proxy("p", discovery.addr, &[service.xds], &[]);
+    all_taken(&service, 1).await;
+    let (well, text) = say(&service, "set --node c --pin-class read --for 1h --reason plant").await;
+    assert!(well && text.contains("pinned class read on node c"), "{text}");
+    all_taken(&service, 1).await;
+    assert_eq!(served(&proxy).await, ["c"]);
+    // A narrower one, on keys: half of the keys begin with one of eight digits.
+    for digit in 0..8 {
+        let words = format!("set --node a --pin-class read --pin-keys {digit}* --for 1h --reason plant");
+        assert!(say(&service, &words).await.0);
+    }
+    all_taken(&service, 1).await;
+    let by = served_by(&proxy, 200).await;
+    assert_eq!(by.keys().map(String::as_str).collect::<Vec<_>>(), ["a", "c"]);
+    assert!(by["a"] > 60 && by["c"] > 60, "{by:?}");
+    let (_, text) = say(&service, "list").await;
+    assert!(text.contains("pinned class read keys 7*"), "{text}");
+    // The list drains the node: its pins undo nothing.
+    discovery.set("c", "draining");
+    let hub = service.hub().clone();
+    let seq = hub.store().seq();
+    until("the drain is known", || hub.store().seq() > seq).await;
+    all_taken(&service, 1).await;
+    let start = Instant::now();
+    while served_by(&proxy, 60).await.contains_key("c") {
+        assert!(start.elapsed() < LONG, "the drain never arrived");
+    }
+    let elsewhere = served(&proxy).await;
+    assert!(elsewhere.contains(&"a".to_owned()) && elsewhere.len() > 1, "{elsewhere:?}");
+    for id in 1..=9 {
+        assert!(say(&service, &format!("lift {id} --author ravi")).await.0);
+    }
+    all_taken(&service, 1).await;
+    assert_eq!(served(&proxy).await, ["a", "b", "d"]);
+}
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -952,3 +952,47 @@
     let actions = p.end_after(id, 0, server, Status::Timeout, None, 100 * MS);
     assert_eq!((sent(&actions), finals(&actions)), (None, 1));
 }
+
+fn ask_pinned(p: &mut Proxy, to: ServerId) -> (RequestId, Vec<Action>) {
+    p.ask_as(Request { key: Some(KEY), remaining: 800 * MS, pinned: Some(to), ..Request::default() })
+}
+
+#[test]
+fn a_request_that_operators_pinned_goes_where_they_want_it_while_it_may() {
+    let mut p = Proxy::with(settings(), entries(0..20));
+    p.crowd(0..300);
+    let home = p.served(KEY, true);
+    let to = entries(0..20).iter().map(|e| e.server).find(|s| *s != home).expect("another");
+    let (id, actions) = ask_pinned(&mut p, to);
+    assert_eq!(sent(&actions), Some(to));
+    // It fails there: the next attempt goes elsewhere, as any would.
+    let next = sent(&p.end(id, 0, to, Status::ConnectFailed, None)).expect("tried again");
+    assert_ne!(next, to);
+    // The pin undoes no drain, and names nobody that the list doesn't.
+    let drained = entries(0..20).into_iter().filter(|e| e.server == to);
+    let drained = drained.map(|e| Entry { state: State::Draining, ..e }).collect();
+    p.list(ListKind::Delta, drained);
+    let (_, actions) = ask_pinned(&mut p, to);
+    assert_ne!(sent(&actions).expect("sent"), to);
+    let (_, actions) = ask_pinned(&mut p, server_id("nobody"));
+    assert!(sent(&actions).is_some());
+}
+
+#[test]
+fn a_pin_does_not_push_a_cold_server_over() {
+    let mut p = Proxy::with(settings(), entries(0..20));
+    p.crowd(0..1500);
+    let cold = Entry { started: p.now, ..entry(3) };
+    let to = cold.server;
+    p.list(ListKind::Delta, vec![cold]);
+    let mut there = 0;
+    for _ in 0..400 {
+        let (id, actions) = ask_pinned(&mut p, to);
+        let server = sent(&actions).expect("sent");
+        there += usize::from(server == to);
+        p.now += MS;
+        p.end(id, 0, server, Status::Ok, Some(true));
+    }
+    // At a fifth of its capacity, and three times that before it falls, a twentieth of the requests would be its share.
+    assert!(there > 0 && there < 40, "{there} of 400");
+}
