--- a/crates/control-service/src/keeper.rs
+++ b/crates/control-service/src/keeper.rs
@@ -1,6 +1,5 @@
 //! Keeps what the service knows in a file, on a thread of its own: a disk that is slow or full holds nobody up.
 
-use crate::log;
 use rushquay_nodes::Stated;
 use rushquay_overrides::{Book, Policy};
 use rushquay_state::{BookChange, Change, Held, Saved, SharedError, SharedState, StateStore};
@@ -10,6 +9,7 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 use std::time::Duration;
+use tracing::{info, warn};
 
 /// A write that failed is tried again after this.
 const AGAIN: Duration = Duration::from_secs(1);
@@ -118,7 +118,7 @@
                 (keeper, saved, book)
             }
             Err(e) => {
-                log(format!("state: {e}; running from memory"));
+                warn!(file = %path.display(), fault = %e, "state can't be used: running from memory");
                 shared.lock().state.fault = Some(e.to_string());
                 let path = Some(path.to_owned());
                 let keeper = Keeper { path, shared, store: None, thread: Thread(None) };
@@ -193,7 +193,7 @@
                 known = nodes.into_iter().map(|s| (s.member.id.clone(), s)).collect();
                 version = Some(now);
                 if let Some(n) = outage.over() {
-                    log(format!("state: written again after {n} failures"));
+                    info!(failures = n, "state is written again");
                 }
                 let state = &mut shared.lock().state;
                 (state.fault, state.version) = (None, version);
@@ -220,7 +220,7 @@
 
 fn failed(e: &SharedError, outage: &mut Outage) {
     if let Some(n) = outage.failed(&e.to_string()) {
-        log(format!("state: {e}; the last good state stands, serving goes on (failure {n})"));
+        warn!(fault = %e, failure = n, "state is not written: the last good state stands, serving goes on");
     }
 }
 
--- a/crates/control-service/src/lib.rs
+++ b/crates/control-service/src/lib.rs
@@ -19,14 +19,3 @@
     read_settings, LimitSettings, OverrideSettings, Settings, SettingsError, SourceOption, StandbySettings,
 };
 pub use standby::StandbyState;
-
-/// A line about something rare. Danger: a fault that repeats without end would fill what holds the lines.
-pub(crate) fn log(line: String) {
-    use std::io::Write as _;
-    use std::sync::atomic::{AtomicU32, Ordering};
-    const MOST: u32 = 10_000;
-    static WRITTEN: AtomicU32 = AtomicU32::new(0);
-    if WRITTEN.fetch_add(1, Ordering::Relaxed) < MOST {
-        let _ = writeln!(std::io::stderr(), "rushquay control: {line}");
-    }
-}
--- a/crates/control-service/src/service.rs
+++ b/crates/control-service/src/service.rs
@@ -4,7 +4,7 @@
 use crate::settings::{Settings, SourceOption};
 use crate::shared::{Shared, Told};
 use crate::standby::{self, Standby, StandbyState};
-use crate::{admin, discovery, file, log};
+use crate::{admin, discovery, file};
 use rushquay_control::Origin;
 use rushquay_nodes::Members;
 use rushquay_xds_grpc::{require_tls_beyond_loopback, serve, Hub, Tls, TlsError};
@@ -202,7 +202,7 @@
     tasks.push(tokio::spawn(async move {
         let stop = async move { drop(ending.wait_for(|stop| *stop).await) };
         if let Err(e) = serve(xds_listener, hub, tls.as_ref(), stop).await {
-            log(format!("xDS ends: {e}"));
+            tracing::error!(fault = %e, "xDS ends");
         }
     }));
     let admin = admin_listener.as_ref().map(|(_, addr)| *addr);
--- a/crates/control-service/src/shared.rs
+++ b/crates/control-service/src/shared.rs
@@ -2,7 +2,6 @@
 //! standby configured it does so only while it leads.
 
 use crate::keeper::{Durable, KeepError, Keeper};
-use crate::log;
 use crate::settings::Settings;
 use crate::standby::Standby;
 use crate::time::ServiceClock;
@@ -17,6 +16,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tracing::{info, warn};
 
 /// For so long after a start what was kept waits for the source's first word. Danger: handed out at once it might name
 /// nodes that went while the service was down; never handed out it would be of no use while the source is down too.
@@ -94,7 +94,7 @@
         let clock = Arc::new(ServiceClock::new());
         let unix = clock.clone();
         let store = Store::new(&incarnation(Epoch(0)), settings.control.removals);
-        let hub = Hub::with_clock(store, settings.limits(), log, Box::new(move || unix.now()));
+        let hub = Hub::with_clock(store, settings.limits(), Box::new(move || unix.now()));
         if standby.is_some() {
             hub.stand_by();
         }
@@ -139,7 +139,7 @@
     /// Goes on from what was kept, alone.
     pub(crate) fn go_on(&self, saved: Saved, book: Book, keeper: Keeper) {
         if let Some(version) = saved.version {
-            log(format!("state: {} nodes kept, list version {version}", saved.nodes.len()));
+            info!(nodes = saved.nodes.len(), list = version, "going on from what was kept");
             lock(&self.control).restore(version, saved.nodes, self.hub.now());
         }
         *lock(&self.kept_events) = book.history().next().map_or(0, |e| e.number);
@@ -165,7 +165,7 @@
         }
         *kept_events = book.history().next().map_or(0, |e| e.number);
         for over in book.expire(wall) {
-            log(format!("override {} ({} on {}) has expired", over.id, over.effect, over.scope));
+            info!(id = over.id, effect = %over.effect, on = %over.scope, "override has expired");
         }
         let _ = new.impose(book.live().cloned().collect(), wall, book.policy().cold_after);
         *self.book() = book;
@@ -198,7 +198,7 @@
         let list = match told {
             Told::Lost(fault) => {
                 if source.fault.as_ref() != Some(&fault) {
-                    log(format!("{fault}; the list stays as it is"));
+                    warn!(source = %self.source_name, %fault, "no node list: the last one stays");
                 }
                 source.fault = Some(fault);
                 return;
@@ -212,7 +212,7 @@
         match control.list(&list, now) {
             Taken::EmptyRefused => {
                 source.refused += 1;
-                log(format!("a list without any node (version {}) is not obeyed", list.version));
+                warn!(list = list.version, "a list without any node is not obeyed");
             }
             _ if !self.leads() => {}
             Taken::First => self.open(&control),
@@ -266,10 +266,8 @@
         let undurable = self.book_kept(self.keep_book());
         // Danger: a leader whose lease ended meanwhile would acknowledge what its successor doesn't know.
         self.must_lead()?;
-        log(format!(
-            "override {} set by {}: {} on {}: {}",
-            set.id, set.author, set.effect, set.scope, set.reason
-        ));
+        let Override { id, author, effect, scope, reason, .. } = &set;
+        info!(id, %author, %effect, on = %scope, %reason, "override set");
         self.impose();
         Ok((set, undurable))
     }
@@ -285,7 +283,7 @@
         let lifted = self.book().lift(id, by, self.wall(), expected)?;
         let undurable = self.book_kept(self.keep_book());
         self.must_lead()?;
-        log(format!("override {id} lifted by {by}"));
+        info!(id, by, "override lifted");
         self.impose();
         Ok((lifted, undurable))
     }
@@ -317,7 +315,7 @@
                 Ok(())
             }
             Err(e) => {
-                log(format!("state: {}; overrides are held in memory", e.why));
+                warn!(fault = %e.why, "overrides are held in memory");
                 Err(e)
             }
         }
@@ -349,10 +347,10 @@
         };
         for o in &soon {
             let left = (o.until - wall) / 1_000_000_000;
-            log(format!("override {} ({} on {}) expires in {left} s", o.id, o.effect, o.scope));
+            info!(id = o.id, effect = %o.effect, on = %o.scope, left_s = left, "override expires soon");
         }
         for o in &expired {
-            log(format!("override {} ({} on {}) has expired", o.id, o.effect, o.scope));
+            info!(id = o.id, effect = %o.effect, on = %o.scope, "override has expired");
         }
         if !expired.is_empty() {
             self.impose();
@@ -377,7 +375,7 @@
         self.declare(&control, &change);
         let waits = control.version().is_some() && !self.hub.store().is_open();
         if waits && lock(&self.since).elapsed() >= KEPT_WAITS {
-            log("no list yet: serving what was kept".into());
+            warn!("no list yet: serving what was kept");
             self.open(&control);
         }
         if !change.is_empty() {
--- a/crates/control-service/src/standby.rs
+++ b/crates/control-service/src/standby.rs
@@ -2,7 +2,6 @@
 //! [`Elector`] says, against a store of leases.
 
 use crate::keeper::Leased;
-use crate::log;
 use crate::shared::Shared;
 use crate::time::steady;
 use rushquay_lease::{Act, Elector, Epoch, Role, Terms};
@@ -10,6 +9,7 @@
 use rushquay_xds::client::Outage;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tracing::{error, info, warn};
 
 /// So often at least the thread looks whether it is to end.
 const LOOK: Duration = Duration::from_millis(500);
@@ -98,8 +98,8 @@
     if let Some(held) = guard.held {
         shared.step_down();
         match standby.store.resign(held) {
-            Ok(()) => log(format!("standby: epoch {} is given back", held.epoch)),
-            Err(e) => log(format!("standby: epoch {} ends by itself: {e}", held.epoch)),
+            Ok(()) => info!(epoch = held.epoch, "the lease is given back"),
+            Err(e) => warn!(epoch = held.epoch, fault = %e, "the lease ends by itself"),
         }
     }
 }
@@ -159,7 +159,7 @@
                 self.reached();
                 let mut inner = standby.lock();
                 if inner.state.leader.as_ref() != Some(&by) {
-                    log(format!("standby: {by} leads"));
+                    info!(leader = %by, "another instance leads");
                 }
                 inner.state.leader = Some(by.clone());
                 drop(inner);
@@ -182,10 +182,7 @@
             Ok(loaded) => loaded,
             Err(e) => {
                 // Danger: leading on from nothing would forget every drain and override.
-                log(format!(
-                    "standby: epoch {} is had, but what was kept can't be read: {e}; it is given back",
-                    held.epoch
-                ));
+                error!(epoch = held.epoch, fault = %e, "what was kept can't be read: the lease is given back");
                 let _ = standby.store.resign(held);
                 standby.lock().state.fault = Some(e.to_string());
                 return self.elector.lost(steady());
@@ -210,13 +207,13 @@
         inner.state.epoch = held.epoch;
         inner.state.takeovers += 1;
         inner.state.takeover_ms = took;
-        log(format!("standby: {} leads, epoch {}, after {took} ms", standby.me, held.epoch));
+        info!(leader = %standby.me, epoch = held.epoch, took_ms = took, "this instance leads");
     }
 
     fn step_down(&mut self, why: &str) {
         if let Some(held) = self.held.take() {
             self.shared.step_down();
-            log(format!("standby: epoch {} is over: {why}", held.epoch));
+            warn!(epoch = held.epoch, why, "stepped down");
         }
         let mut inner = self.standby.lock();
         (inner.state.epoch, inner.state.leader) = (0, None);
@@ -226,14 +223,14 @@
 
     fn reached(&mut self) {
         if let Some(n) = self.outage.over() {
-            log(format!("standby: {} answers again after {n} failures", self.standby.store.name()));
+            info!(store = %self.standby.store.name(), failures = n, "the store of leases answers again");
         }
         self.standby.lock().state.fault = None;
     }
 
     fn unreached(&mut self, e: &SharedError) {
         if let Some(n) = self.outage.failed(&e.to_string()) {
-            log(format!("standby: {e} (failure {n})"));
+            warn!(fault = %e, failure = n, "the store of leases does not answer");
         }
         self.standby.lock().state.fault = Some(e.to_string());
         self.elector.unknown(steady());
--- a/crates/control-service/src/time.rs
+++ b/crates/control-service/src/time.rs
@@ -1,6 +1,5 @@
 //! The machine's clocks.
 
-use crate::log;
 use rushquay_lease::{Clock, Nanos, Reading};
 use std::sync::{Mutex, PoisonError};
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -42,10 +41,10 @@
     pub fn look(&self) {
         if let Some(jump) = self.lock().look(reading()) {
             let seconds = jump as f64 / rushquay_lease::SECOND as f64;
-            log(format!(
-                "the wall clock jumped by {seconds:+.3} s; overrides last as long as they were set for (a restart takes \
-                 the new time)"
-            ));
+            tracing::warn!(
+                jump_s = seconds,
+                "the wall clock jumped: overrides last as long as they were set for; a restart takes the new time"
+            );
         }
     }
 
--- a/crates/xds-grpc/src/hub.rs
+++ b/crates/xds-grpc/src/hub.rs
@@ -90,8 +90,6 @@
     pub limits: ServerLimits,
     /// Counters.
     pub counters: Counters,
-    /// Where rare lines go.
-    pub(crate) log: fn(String),
     start: Instant,
     /// The number of the store that is served, counted from 1; 0: none is.
     served: AtomicU64,
@@ -105,16 +103,15 @@
 }
 
 impl Hub {
-    /// Hands out what stands in the store; rare lines go to `log`.
-    pub fn new(store: Store, limits: ServerLimits, log: fn(String)) -> Arc<Self> {
-        Hub::with_clock(store, limits, log, Box::new(wall))
+    /// Hands out what stands in the store.
+    pub fn new(store: Store, limits: ServerLimits) -> Arc<Self> {
+        Hub::with_clock(store, limits, Box::new(wall))
     }
 
     /// The same, with the clock that overrides end by: Unix time in nanoseconds.
     pub fn with_clock(
         store: Store,
         limits: ServerLimits,
-        log: fn(String),
         unix: Box<dyn Fn() -> Nanos + Send + Sync>,
     ) -> Arc<Self> {
         Arc::new(Hub {
@@ -124,7 +121,6 @@
             next: AtomicU64::new(0),
             limits,
             counters: Counters::default(),
-            log,
             start: Instant::now(),
             served: AtomicU64::new(1),
             stores: AtomicU64::new(1),
--- a/crates/xds-grpc/src/server.rs
+++ b/crates/xds-grpc/src/server.rs
@@ -170,12 +170,12 @@
                     Ok(Heard::Acked(_)) => drop(hub.counters.acks.fetch_add(1, Relaxed)),
                     Ok(Heard::Nacked(kind, why)) => {
                         hub.counters.nacks.fetch_add(1, Relaxed);
-                        (hub.log)(format!("{:?} refused {kind:?}: {why:?}", place.node()));
+                        tracing::warn!(subscriber = %place.node(), ?kind, ?why, "a subscriber refused an answer");
                     }
                     Ok(Heard::Subscribed | Heard::Stale(_)) => {}
                     Err(e) => {
                         hub.counters.faults.fetch_add(1, Relaxed);
-                        (hub.log)(format!("{:?}: {e}", place.node()));
+                        tracing::warn!(subscriber = %place.node(), fault = %e, "a stream ends for its peer's fault");
                         break Some(status(&e));
                     }
                 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod demo;
+mod events;
 mod overrides;
 mod state;
 
@@ -53,6 +54,8 @@
         /// Keep what is known in this file, and go on from it after a restart. Without: in memory alone.
         #[arg(long, value_name = "FILE")]
         state: Option<PathBuf>,
+        #[command(flatten)]
+        events: events::EventArgs,
         #[command(subcommand)]
         command: Option<ControlCommand>,
     },
@@ -85,7 +88,18 @@
     match Cli::parse().command {
         Command::Proxy { control } => proxy(control),
         Command::Control { command: Some(ControlCommand::State { command }), .. } => state::run(command),
-        Command::Control { listen, discovery, nodes, cluster, admin, config, state, command: None } => {
+        Command::Control {
+            listen,
+            discovery,
+            nodes,
+            cluster,
+            admin,
+            config,
+            state,
+            events,
+            command: None,
+        } => {
+            events.start()?;
             let listen = listen.ok_or("--listen is needed")?;
             let mut settings = config.as_deref().map(read_settings).transpose().map_err(|e| e.to_string())?;
             let settings: &mut Settings = settings.get_or_insert_default();
--- a/src/cli/overrides.rs
+++ b/src/cli/overrides.rs
@@ -30,7 +30,7 @@
 #[derive(Subcommand)]
 enum OverrideCommand {
     /// Sets one.
-    Set(SetArgs),
+    Set(Box<SetArgs>),
     /// Lists those that are live, and which are masked by which.
     List,
     /// Lifts one before its time.
