Name the package rushquay, and give a subscription's settings a file of their own

Change: the library is rushquay (the drill's binary and the deploy file's keys stay); src/net/subscription.rs holds the settings, which config.rs reads and control.rs follows.

--- a/examples/control_figures.rs
+++ b/examples/control_figures.rs
@@ -12,7 +12,7 @@
     DeltaDiscoveryRequest, DeltaDiscoveryResponse, DiscoveryRequest, DiscoveryResponse,
 };
 use prost::Message;
-use ravenlug::net::local::LocalProxy;
+use rushquay::net::local::LocalProxy;
 use rushquay_control_service::{start, Options, Settings, SourceOption};
 use rushquay_resources::collection_name;
 use rushquay_standins::{entry, proxy_config, Discovery, Load, Node};
--- a/examples/state_figures.rs
+++ b/examples/state_figures.rs
@@ -7,7 +7,7 @@
 //! - `cargo run --release --locked --example state_figures -- overrides`: what ten thousand live overrides cost a proxy, and what
 //!   pins cost a request.
 
-use ravenlug::net::local::LocalProxy;
+use rushquay::net::local::LocalProxy;
 use rushquay_nodes::{Imposed, Member, Merge, MergeLimits, News, NodeState, Pin, Pins, Source, Stated};
 use rushquay_overrides::{Ask, Book, Effect, Fleet, Policy, Scope, SECOND};
 use rushquay_standins::{entry, proxy_config, Discovery, Node};
--- a/src/bin/ravenlug-drill.rs
+++ b/src/bin/ravenlug-drill.rs
@@ -1,9 +1,9 @@
 //! Plays the bench's wire on standard input and output: one decision module for each instance, nothing shared.
 #![forbid(unsafe_code)]
 
-use ravenlug::api::{Action, Entry, Event, ListKind, Nanos, ServerId};
-use ravenlug::wire::{self, Line};
-use ravenlug::Balancer;
+use rushquay::api::{Action, Entry, Event, ListKind, Nanos, ServerId};
+use rushquay::wire::{self, Line};
+use rushquay::Balancer;
 use rustc_hash::FxHashMap;
 use std::io::{self, BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -1,7 +1,7 @@
 //! `rushquay check FILE`: reads a file as the program would, and names file, field and what was expected.
 
-use ravenlug::net::config::Config;
-use ravenlug::net::control::ControlSource;
+use rushquay::net::config::Config;
+use rushquay::net::subscription::ControlSource;
 use rushquay_control_service::read_settings;
 use rushquay_nodes::check_list;
 use serde_json::Value;
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,7 +7,7 @@
 mod state;
 
 use clap::{Parser, Subcommand};
-use ravenlug::net;
+use rushquay::net;
 use rushquay_control_service::{read_settings, start, Options, Settings, SourceOption};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -149,7 +149,7 @@
         let mut config = net::config::Config::from_env()?;
         if let Some(path) = control {
             config.control =
-                Some(net::control::ControlSource::read(&path).map_err(|e| format!("--control: {e}"))?);
+                Some(net::subscription::ControlSource::read(&path).map_err(|e| format!("--control: {e}"))?);
         }
         net::server::run(config, ending()?, hangup, |_| {}).await
     };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! ravenlug decides, for a proxy that spreads keys over cache servers before a slow origin, which server
+//! rushquay decides, for a proxy that spreads keys over cache servers before a slow origin, which server
 //! gets each request. [`logic`] holds every decision, [`api`] its types, [`wire`] a text codec for
 //! the adapter.
 #![forbid(unsafe_code)]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,4 +1,4 @@
-//! Every decision of ravenlug. The interface (types, settings, events, actions) is `src/api.rs`.
+//! Every decision of rushquay. The interface (types, settings, events, actions) is `src/api.rs`.
 //!
 //! The ordinary path is Go-With-The-Winner: a key's bucket has SIGMA hashed candidates, each with a window of
 //! its last TAU outcomes; the first candidate with TAU hits in a row wins the bucket and keeps it.
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,7 +14,7 @@
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            ravenlug::net::log(e);
+            rushquay::net::log(e);
             ExitCode::FAILURE
         }
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,6 +1,6 @@
 //! What the platform tells a proxy: the `PROXY_*` variables and the JSON file that they name.
 
-use super::control::ControlSource;
+use super::subscription::ControlSource;
 use crate::api::{server_id, Entry, Settings, State};
 use rushquay_nodes::{Member, Members, NodeState};
 use serde::Deserialize;
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -3,13 +3,11 @@
 
 use super::config::Config;
 use super::nodes::NodeList;
+use super::subscription::ControlSource;
 use rushquay_nodes::MergeLimits;
 use rushquay_resources::{Follow, FollowConfig};
 use rushquay_xds::client::Outage;
 use rushquay_xds_grpc::{run, ClientOptions, Notice, Tls, TlsFiles};
-use serde::Deserialize;
-use std::net::SocketAddr;
-use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{interval, Instant};
@@ -24,111 +22,6 @@
 /// An answer is at most this long; five thousand endpoints inline take a quarter of it.
 const ANSWER_MOST: usize = 8 << 20;
 
-/// The settings of the subscription: a TOML file that `PROXY_CONTROL` names, or `control_service` in the proxy's JSON.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct ControlSource {
-    /// Control services, `IP:PORT` each; one is followed at a time, the next when it is lost.
-    pub addresses: Vec<SocketAddr>,
-    /// The clusters whose endpoints are the node list.
-    #[serde(default = "clusters")]
-    pub clusters: Vec<String>,
-    /// Ask for LEDS collections, so that one change costs one endpoint; a server that has none is asked for whole
-    /// clusters.
-    #[serde(default = "yes")]
-    pub collections: bool,
-    /// For how long, in seconds, a drain stands against a control service or a list that is older than it.
-    #[serde(default = "hold")]
-    pub hold_s: u64,
-    /// The first wait before connecting again, in milliseconds; it doubles.
-    #[serde(default = "backoff")]
-    pub backoff_ms: u64,
-    /// The longest wait, in milliseconds.
-    #[serde(default = "backoff_most")]
-    pub backoff_most_ms: u64,
-    /// Most endpoints taken.
-    #[serde(default = "endpoints_most")]
-    pub endpoints_most: usize,
-    /// Mutual TLS.
-    #[serde(default)]
-    pub tls: Option<ControlTls>,
-}
-
-/// Mutual TLS towards the control service.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct ControlTls {
-    /// This proxy's certificate (PEM).
-    pub cert: std::path::PathBuf,
-    /// Its key (PEM).
-    pub key: std::path::PathBuf,
-    /// The authority that signs the control service's certificate (PEM).
-    pub ca: std::path::PathBuf,
-    /// The name in the control service's certificate.
-    pub server_name: String,
-}
-
-fn clusters() -> Vec<String> {
-    vec!["cache-nodes".into(), "origin".into()]
-}
-fn yes() -> bool {
-    true
-}
-fn hold() -> u64 {
-    3600
-}
-fn backoff() -> u64 {
-    100
-}
-fn backoff_most() -> u64 {
-    5000
-}
-fn endpoints_most() -> usize {
-    10_000
-}
-
-impl ControlSource {
-    /// Reads a file (TOML).
-    ///
-    /// # Errors
-    /// What is wrong, with the file and the field.
-    pub fn read(path: &Path) -> Result<Self, String> {
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-        let read = toml::from_str::<Self>(&text).map_err(|e| e.to_string()).and_then(Self::checked);
-        read.map_err(|e| format!("{}: {e}", path.display()))
-    }
-
-    /// Reads the `control_service` object of the proxy's configuration.
-    ///
-    /// # Errors
-    /// The field and what is wrong with it.
-    pub fn from_json(told: &serde_json::Value) -> Result<Self, String> {
-        Self::deserialize(told).map_err(|e| e.to_string()).and_then(Self::checked)
-    }
-
-    fn checked(self) -> Result<Self, String> {
-        let need = |holds: bool, what: &str| if holds { Ok(()) } else { Err(what.to_owned()) };
-        need(!self.addresses.is_empty(), "addresses: expected one address at least")?;
-        need(!self.clusters.is_empty(), "clusters: expected one name at least")?;
-        need(self.clusters.iter().all(|c| !c.is_empty()), "clusters: expected names that are not empty")?;
-        need((1..=604_800).contains(&self.hold_s), "hold_s: expected seconds from 1 to 604800")?;
-        need((1..=60_000).contains(&self.backoff_ms), "backoff_ms: expected milliseconds from 1 to 60000")?;
-        let most = self.backoff_ms..=600_000;
-        need(
-            most.contains(&self.backoff_most_ms),
-            "backoff_most_ms: expected backoff_ms at least, 600000 at most",
-        )?;
-        need((1..=1_000_000).contains(&self.endpoints_most), "endpoints_most: expected 1 to 1000000")?;
-        if self.tls.is_none() {
-            let beyond = self.addresses.iter().find(|a| !a.ip().is_loopback());
-            let bare =
-                |a| Err(format!("tls: expected cert, key, ca and server_name, since {a} is beyond loopback"));
-            beyond.map_or(Ok(()), bare)?;
-        }
-        Ok(self)
-    }
-}
-
 /// A subscription that is to be followed.
 pub struct Subscription {
     source: ControlSource,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 mod nodes;
 pub mod server;
 mod socket;
+pub mod subscription;
 mod upstream;
 
 use http_body_util::Full;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A hand-driven proxy for the module's tests: it keeps the clock, the list and what the module did.
 #![allow(dead_code)]
 
-use ravenlug::api::*;
-use ravenlug::Balancer;
+use rushquay::api::*;
+use rushquay::Balancer;
 
 pub const MS: Nanos = 1_000_000;
 pub const SECOND: Nanos = 1_000 * MS;
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -9,7 +9,7 @@
 mod restarts;
 mod standby;
 
-use ravenlug::net::local::LocalProxy;
+use rushquay::net::local::LocalProxy;
 use rushquay_control_service::{start, ControlService, Options, Settings, SourceOption};
 use rushquay_nodes::Members;
 use rushquay_standins::{entry, proxy_config, Discovery, Node};
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use ravenlug::api::*;
+use rushquay::api::*;
 use std::collections::BTreeMap;
 
 const KEY: u64 = 0xabcdef;
--- a/tests/faults/rig.rs
+++ b/tests/faults/rig.rs
@@ -4,7 +4,7 @@
 use super::client::{Client, Ordinals};
 use super::wire::{Wire, WITHIN};
 use super::LONG;
-use ravenlug::net::local::LocalProxy;
+use rushquay::net::local::LocalProxy;
 use rushquay_books::{Books, Breach, Entry, Nanos, Tolerance};
 use rushquay_control_service::{start, ControlService, Options as ControlOptions, Settings, SourceOption};
 use rushquay_fault_relay::{Cut, Lane, Options, Relay, Script};
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use ravenlug::api::*;
+use rushquay::api::*;
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::sync::atomic::{AtomicIsize, Ordering};
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,7 +4,7 @@
 use common::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use ravenlug::api::*;
+use rushquay::api::*;
 use std::collections::BTreeMap;
 
 #[derive(Clone, Debug)]
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The codec line by line, and a whole conversation with the adapter's binary.
 
-use ravenlug::api::*;
-use ravenlug::wire::{self, Line};
+use rushquay::api::*;
+use rushquay::wire::{self, Line};
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
