Give records with pins a form of their own, and read dumps of the form before

Need: a version that knows no pins would take a kept pin for a damaged record; and dumps taken before are to be restored. Change: records are of form 3; dumps of forms 2 and 3 are read. Measured: tests of crates/state and crates/etcd pass, an older dump and one of a form to come among them.

--- a/crates/state/src/record.rs
+++ b/crates/state/src/record.rs
@@ -8,7 +8,8 @@
 ///
 /// - 1: `started` in milliseconds, as discovery tells it.
 /// - 2: `started_ns`, in nanoseconds.
-pub const FORM: u16 = 2;
+/// - 3: overrides may be pins. Danger: a version that knows none would take such a record for damaged.
+pub const FORM: u16 = 3;
 const HEADER: usize = 6;
 
 /// Why a record can't be used.
--- a/crates/state/src/text.rs
+++ b/crates/state/src/text.rs
@@ -54,10 +54,10 @@
     let first = lines.next().map_or("", |(_, l)| l);
     let head: Head =
         serde_json::from_str(first).map_err(|e| format!("line 1: not a dump's first line: {e}"))?;
-    if head.rushquay_state != crate::FORM {
+    if !(2..=crate::FORM).contains(&head.rushquay_state) {
         let form = head.rushquay_state;
         return Err(format!(
-            "line 1: a dump of form {form}, expected {}: use the version that wrote it",
+            "line 1: a dump of form {form}, expected 2 to {}: use the version that wrote it",
             crate::FORM
         ));
     }
--- a/crates/state/tests/crashes.rs
+++ b/crates/state/tests/crashes.rs
@@ -285,6 +285,13 @@
     let cut = lines[..lines.len() - 1].join("\n");
     assert!(restore(&cut).expect_err("cut").contains("cut off"));
     assert!(restore("{}").expect_err("no dump").starts_with("line 1"));
+    // From before there were overrides.
+    let node = text.lines().nth(1).expect("a node");
+    let old = format!("{{\"rushquay_state\":2,\"version\":7,\"nodes\":1}}\n{node}\n");
+    let (change, book) = restore(&old).expect("an older dump");
+    assert_eq!((change.version, change.set.len(), book.live.len()), (Some(7), 1, 0));
+    let newer = old.replace(":2,", ":9,");
+    assert!(restore(&newer).expect_err("newer").contains("form 9"));
 }
 
 /// The book of overrides at each write: what was acknowledged is there, with its history and its numbers.
