Add a pure model of nodes and rehearse scenarios in virtual time against the decision module

Change: crates/emulator models a node and the origin (queue, cache, warm-up, falls, pauses, faults, restarts) as a state machine over requests, time and chance; crates/rehearse plays scenarios (TOML, six shipped) with open-loop traffic, repeats by clients and proxies that drive the program's own decision module, judged by crates/books without tolerance; rushquay-emulate run. Sockets, record and replay, and the report are not there yet.

--- /dev/null
+++ b/crates/emulator/src/kept.rs
@@ -0,0 +1,72 @@
+//! What a node keeps: so many keys, each for so long, the least recently used going first.
+
+use crate::Nanos;
+use lru::LruCache;
+use std::num::NonZeroUsize;
+
+/// The kept set.
+pub struct Kept {
+    keys: LruCache<u64, Nanos>,
+    lasts: Nanos,
+}
+
+impl Kept {
+    /// For so many keys, each for so long after it was stored.
+    pub fn new(room: NonZeroUsize, lasts: Nanos) -> Self {
+        Kept { keys: LruCache::new(room), lasts }
+    }
+
+    /// Whether the key is there; it is then the last that goes.
+    pub fn has(&mut self, key: u64, now: Nanos) -> bool {
+        match self.keys.get(&key) {
+            Some(until) if *until > now => true,
+            Some(_) => {
+                self.keys.pop(&key);
+                false
+            }
+            None => false,
+        }
+    }
+
+    /// Keeps a key from now on.
+    pub fn store(&mut self, key: u64, now: Nanos) {
+        self.keys.put(key, now.saturating_add(self.lasts));
+    }
+
+    /// Drops one.
+    pub fn drop(&mut self, key: u64) {
+        self.keys.pop(&key);
+    }
+
+    /// How many there are, those whose time is over among them.
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// Forgets all.
+    pub fn clear(&mut self) {
+        self.keys.clear();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_least_recently_used_goes_first_and_what_is_old_is_gone() {
+        let mut kept = Kept::new(NonZeroUsize::new(2).expect("not zero"), 100);
+        kept.store(1, 0);
+        kept.store(2, 10);
+        assert!(kept.has(1, 20));
+        kept.store(3, 30);
+        assert!(!kept.has(2, 40) && kept.has(1, 40) && kept.has(3, 40));
+        assert!(!kept.has(1, 100) && kept.has(3, 100));
+        assert_eq!(kept.len(), 1);
+    }
+}
--- /dev/null
+++ b/crates/rehearse/src/lib.rs
@@ -0,0 +1,12 @@
+//! Rehearsals: scenarios of cache nodes, an origin, clients and faults, played in virtual time against the very decision
+//! module that the proxy runs, and held against the four rules by books of their own.
+#![forbid(unsafe_code)]
+
+mod figures;
+mod scenario;
+mod traffic;
+mod world;
+
+pub use figures::{ClassFigures, Figures, Second};
+pub use scenario::{Scenario, ScenarioError};
+pub use world::play;
