--- a/crates/rehearse/src/world.rs
+++ b/crates/rehearse/src/world.rs
@@ -134,8 +134,10 @@
     attempts: HashMap<u64, Attempt>,
     /// Attempts that nodes still have: of which request, and the token of a keyed one.
     jobs: HashMap<u64, (u64, Option<u64>)>,
-    /// Keyed writes that ran, by token: when, where and for which request.
-    ran: HashMap<u64, (Nanos, usize, u64)>,
+    /// Keyed writes that ran, by token.
+    ran: HashMap<u64, Nanos>,
+    /// The node that a keyed request ran at, or was answered from memory by.
+    ran_for: HashMap<u64, usize>,
     /// Attempts that were repeats and dropped, and the node that had run the first.
     dropped: HashMap<u64, usize>,
     timeline: Timeline<Due>,
@@ -245,6 +247,7 @@
             attempts: HashMap::new(),
             jobs: HashMap::new(),
             ran: HashMap::new(),
+            ran_for: HashMap::new(),
             dropped: HashMap::new(),
             timeline: Timeline::default(),
             chance: Chance::seed_from_u64(scenario.seed),
@@ -628,16 +631,15 @@
     fn ran(&mut self, node: usize, attempt: u64) {
         let Some((request, token)) = self.jobs.get(&attempt).copied() else { return };
         if let Some(token) = token {
-            match self.ran.get(&token) {
-                Some((at, by, of)) if self.now - at < DEDUP => {
-                    if *of == request {
-                        self.dropped.insert(attempt, *by);
-                        return;
-                    }
-                    // A client's own repeat, under another id: it is answered from what the first one did.
-                }
-                _ => drop(self.ran.insert(token, (self.now, node, request))),
+            let remembered = self.ran.get(&token).is_some_and(|at| self.now - at < DEDUP);
+            if !remembered {
+                self.ran.insert(token, self.now);
+            } else if let Some(by) = self.ran_for.get(&request) {
+                self.dropped.insert(attempt, *by);
+                return;
             }
+            // A client's own repeat, under another id, is answered from what the first one did: it counts once for each.
+            self.ran_for.insert(request, node);
         }
         self.books.enter(self.now, Entry::Ran { id: request.to_string(), node: self.ids[node].clone() });
     }
