Let the test of a drain that outlives its leader rest on shared state alone; one steady clock

Seen on a last read: the standby followed the same discovery, so that it knew the drain by itself; a leader stopped in the midst of a call would have held the shared file in one run of a hundred or so; the clock stood twice, and a parameter was unused. Change: the standby's discovery never hears of the drain; the leader is stopped between two calls; control-service's steady clock serves both.

--- a/crates/control-service/src/lib.rs
+++ b/crates/control-service/src/lib.rs
@@ -19,3 +19,4 @@
     read_settings, LimitSettings, OverrideSettings, Settings, SettingsError, SourceOption, StandbySettings,
 };
 pub use standby::StandbyState;
+pub use time::steady;
--- a/crates/rehearse/src/world.rs
+++ b/crates/rehearse/src/world.rs
@@ -721,16 +721,16 @@
         }
         let node = scenario.named(&happening.on)[place];
         match (happening.what, begins) {
-            (What::Drain, true) => self.list(node, 1, 0),
-            (What::Drain, false) => self.list(node, 0, 0),
+            (What::Drain, true) => self.list(node, 1),
+            (What::Drain, false) => self.list(node, 0),
             (What::Restart, true) => {
-                self.list(node, 1, 0);
+                self.list(node, 1);
                 // Its work is done by then.
                 self.timeline.put(self.now + 2 * SECOND, Due::Happens(event, place, false));
             }
             (What::Restart, false) => {
                 self.fault(node, Fault::Restart);
-                self.list(node, 0, 0);
+                self.list(node, 0);
             }
             _ => {}
         }
@@ -738,7 +738,7 @@
             self.fault(node, fault);
             if fault == Fault::Restart {
                 // Discovery hears of the new process.
-                self.list(node, 0, 0);
+                self.list(node, 0);
             }
         }
     }
@@ -750,7 +750,7 @@
     }
 
     /// The list changes; proxies hear of it after a while.
-    fn list(&mut self, node: usize, state: u8, _: Nanos) {
+    fn list(&mut self, node: usize, state: u8) {
         let started = self.nodes[node].started();
         let after = self.now + nanos(self.scenario.discovery_ms);
         for proxy in 0..self.balancers.len() {
--- a/src/net/nodes.rs
+++ b/src/net/nodes.rs
@@ -2,6 +2,7 @@
 
 use super::engine::Engine;
 use crate::api::{server_id, ListKind, ServerId};
+use rushquay_control_service::steady;
 use rushquay_lease::{Nanos, Skew, SECOND};
 use rushquay_nodes::{Changes, Member, Members, Merge, MergeLimits, News, NodeState, Pin, Pins, Source};
 use std::cell::{Cell, RefCell};
@@ -19,12 +20,6 @@
     start: (Nanos, Nanos),
 }
 
-/// Counts while the machine is suspended as well: an override ends on time after that, too.
-fn steady() -> Nanos {
-    let t = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
-    t.tv_sec as Nanos * SECOND + t.tv_nsec as Nanos
-}
-
 impl NodeList {
     /// With `limits` discovery's list is merged with a control service's; without, it goes on as it comes.
     pub fn new(engine: Rc<Engine>, limits: Option<MergeLimits>, known: Option<&Members>) -> Rc<Self> {
--- a/tests/control/standby.rs
+++ b/tests/control/standby.rs
@@ -114,6 +114,23 @@
         (standby["leads"] == true && status["open"] == true, standby["epoch"].as_u64().expect("an epoch"))
     }
 
+    /// Danger: stopped in the midst of a call it would hold the file until it goes on.
+    fn stop_between_writes(&self, file: &Path) {
+        let start = Instant::now();
+        loop {
+            self.running.signal("-STOP");
+            // The other opens it as well, for moments.
+            if (0..200).any(|_| {
+                std::thread::sleep(Duration::from_millis(2));
+                rushquay_state::StateStore::open(file).is_ok()
+            }) {
+                return;
+            }
+            self.running.signal("-CONT");
+            assert!(start.elapsed() < LONG, "it always holds the file");
+        }
+    }
+
     async fn leads(&self) -> u64 {
         until("the program leads", || self.standby().0).await;
         self.standby().1
@@ -128,7 +145,9 @@
     let discovery = Discovery::start(41, &ready(&fleet)).await;
     let first = program("first", discovery.addr, &file.0);
     let epoch = first.leads().await;
-    let second = instance("second", discovery.addr, &Place::File(&file.0)).await;
+    // Its own discovery never hears of the drain.
+    let behind = Discovery::start(41, &ready(&fleet)).await;
+    let second = instance("second", behind.addr, &Place::File(&file.0)).await;
     let silent = Discovery::start(41, &ready(&fleet)).await;
     let known = proxy("known", silent.addr, &[first.xds(), second.xds], &ready(&fleet));
     silent.down(true);
@@ -148,8 +167,7 @@
         status["state"]["version"] == status["source"]["version"] && status["state"]["fault"].is_null()
     })
     .await;
-    // Discovery forgets it: the standby has it from what is shared, or not at all.
-    discovery.replace(41, &ready(&fleet));
+    // The standby has it from what is shared, or not at all.
     drop(first);
     assert!(leads(&second).await > epoch);
     let fresh = proxy("fresh", silent.addr, &[second.xds], &ready(&fleet));
@@ -172,7 +190,7 @@
     let proxy = proxy("p", silent.addr, &[first.xds(), second.xds], &ready(&fleet));
     silent.down(true);
     assert_eq!(served_by(&proxy, 150).await.len(), 3);
-    first.running.signal("-STOP");
+    first.stop_between_writes(&file.0);
     let next = leads(&second).await;
     assert!(next > epoch);
     discovery.set("c", "draining");
