Read Envoy's bootstrap, clusters, endpoints and routes strictly, as pure crates

Change: crates/pools calculates who takes which part (priorities, degraded and panic levels, locality and endpoint weights, aggregates, circuit breakers, look-ups); crates/routes finds the route of a request by an index that keeps the first match; crates/envoy holds a table of every field of every message with what becomes of it, reads YAML, JSON and the wire by that table, refuses with a field's path what can't be obeyed, and keeps a catalogue from which clusters, endpoints and routes follow in an order in which nothing is referred to before it is there. The xDS client can speak state-of-the-world alone, and asks for all resources by naming none, which older servers need.

Nothing of it runs in the proxy yet.

--- /dev/null
+++ b/crates/envoy/src/endpoints.rs
@@ -0,0 +1,176 @@
+//! Reads `ClusterLoadAssignment`.
+
+use crate::common::{address, host, nanos, Own};
+use crate::wire::Refused;
+use envoy_types::pb::envoy::config::core::v3::HealthStatus;
+use envoy_types::pb::envoy::config::endpoint::v3::{
+    cluster_load_assignment::policy::DropOverload, lb_endpoint::HostIdentifier, ClusterLoadAssignment,
+    Endpoint as Proto, LbEndpoint, LocalityLbEndpoints,
+};
+use envoy_types::pb::envoy::r#type::v3::{fractional_percent::DenominatorType, FractionalPercent};
+use rushquay_pools::dns::{Named, NamedLocality};
+use rushquay_pools::{Assignment, Endpoint, Health, Locality, LocalityName, Overload, Place, Rules};
+use std::num::NonZeroU32;
+use std::sync::Arc;
+
+/// What this project's metadata may say of an endpoint. The last ones come from its own control service, which says the same
+/// in the fields of Envoy's form.
+const KNOWN: [&str; 13] = [
+    "id",
+    "kind",
+    "cell",
+    "zone",
+    "started_ns",
+    "weight",
+    "state",
+    "listed",
+    "shared",
+    "out_ns",
+    "factors",
+    "cold_after_ns",
+    "pins",
+];
+
+/// Reads an assignment whose endpoints have addresses.
+pub fn assignment(told: &ClusterLoadAssignment) -> Result<Assignment, Refused> {
+    let localities = each(told, |path, l| {
+        let endpoints = l.lb_endpoints.iter().enumerate();
+        let endpoints = endpoints.map(|(j, e)| {
+            let at = format!("{path}.lb_endpoints[{j}]");
+            one(e, l.locality.as_ref().map_or("", |l| l.zone.as_str())).map_err(|r| r.below(at))
+        });
+        let endpoints = endpoints.collect::<Result<_, _>>()?;
+        Ok(Locality { name: name(l), priority: priority(path, l)?, weight: weight(path, l)?, endpoints })
+    })?;
+    Assignment::new(localities, rules(told)?).map_err(|e| Refused::at("", e.to_string()))
+}
+
+/// Reads an assignment whose endpoints have names.
+pub fn named(told: &ClusterLoadAssignment) -> Result<(Vec<NamedLocality>, Rules), Refused> {
+    let localities = each(told, |path, l| {
+        let zone = l.locality.as_ref().map_or("", |l| l.zone.as_str());
+        let endpoints = l.lb_endpoints.iter().enumerate().map(|(j, e)| {
+            let at = format!("{path}.lb_endpoints[{j}]");
+            let read = || {
+                let (host, port) = host("endpoint.address", endpoint(e)?.address.as_ref())?;
+                let own = Own::of(e.metadata.as_ref(), &KNOWN)?;
+                let (weight, health) = (own_weight(e)?, health(e)?);
+                Ok(Named { host: host.into(), port, weight, health, place: place(&own, zone)? })
+            };
+            read().map_err(|r: Refused| r.below(at))
+        });
+        let endpoints = endpoints.collect::<Result<_, _>>()?;
+        Ok(NamedLocality { name: name(l), priority: priority(path, l)?, weight: weight(path, l)?, endpoints })
+    })?;
+    Ok((localities, rules(told)?))
+}
+
+fn each<T>(
+    told: &ClusterLoadAssignment,
+    read: impl Fn(&str, &LocalityLbEndpoints) -> Result<T, Refused>,
+) -> Result<Vec<T>, Refused> {
+    let read = |(i, l): (usize, &LocalityLbEndpoints)| read(&format!("endpoints[{i}]"), l);
+    told.endpoints.iter().enumerate().map(read).collect()
+}
+
+fn name(l: &LocalityLbEndpoints) -> LocalityName {
+    l.locality.as_ref().map_or_else(LocalityName::default, |l| LocalityName {
+        region: l.region.as_str().into(),
+        zone: l.zone.as_str().into(),
+        sub_zone: l.sub_zone.as_str().into(),
+    })
+}
+
+fn priority(path: &str, l: &LocalityLbEndpoints) -> Result<u8, Refused> {
+    u8::try_from(l.priority).map_err(|_| Refused::at(format!("{path}.priority"), "expected 0 to 127"))
+}
+
+fn weight(path: &str, l: &LocalityLbEndpoints) -> Result<Option<NonZeroU32>, Refused> {
+    let at = || Refused::at(format!("{path}.load_balancing_weight"), "0; expected 1 at least");
+    l.load_balancing_weight.as_ref().map(|w| NonZeroU32::new(w.value).ok_or_else(at)).transpose()
+}
+
+fn endpoint(told: &LbEndpoint) -> Result<&Proto, Refused> {
+    match &told.host_identifier {
+        Some(HostIdentifier::Endpoint(endpoint)) => Ok(endpoint),
+        _ => Err(Refused::at("endpoint", "missing")),
+    }
+}
+
+fn own_weight(told: &LbEndpoint) -> Result<NonZeroU32, Refused> {
+    let weight = told.load_balancing_weight.as_ref().map_or(1, |w| w.value);
+    NonZeroU32::new(weight).ok_or_else(|| Refused::at("load_balancing_weight", "0; expected 1 at least"))
+}
+
+fn health(told: &LbEndpoint) -> Result<Health, Refused> {
+    Ok(match HealthStatus::try_from(told.health_status) {
+        Ok(HealthStatus::Unknown | HealthStatus::Healthy) => Health::Healthy,
+        Ok(HealthStatus::Degraded) => Health::Degraded,
+        Ok(HealthStatus::Unhealthy | HealthStatus::Timeout) => Health::Unhealthy,
+        Ok(HealthStatus::Draining) => Health::Draining,
+        Err(_) => {
+            return Err(Refused::at("health_status", format!("{} is not known here", told.health_status)))
+        }
+    })
+}
+
+fn place(own: &Own<'_>, zone: &str) -> Result<Place, Refused> {
+    let cell = own.whole("cell")?.unwrap_or(0);
+    Ok(Place {
+        zone: own.text("zone")?.unwrap_or(zone).into(),
+        kind: own.text("kind")?.unwrap_or("").into(),
+        cell: u32::try_from(cell)
+            .map_err(|_| Refused::at("metadata.filter_metadata.rushquay.cell", "over 2^32"))?,
+    })
+}
+
+fn one(told: &LbEndpoint, zone: &str) -> Result<Endpoint, Refused> {
+    let addr = address("endpoint.address", endpoint(told)?.address.as_ref(), false)?;
+    let own = Own::of(told.metadata.as_ref(), &KNOWN)?;
+    let id: Arc<str> = own.text("id")?.map_or_else(|| addr.to_string().into(), Into::into);
+    let started = own.whole("started_ns")?;
+    Ok(Endpoint {
+        id,
+        addr,
+        weight: own_weight(told)?,
+        health: health(told)?,
+        place: place(&own, zone)?,
+        started,
+    })
+}
+
+fn rules(told: &ClusterLoadAssignment) -> Result<Rules, Refused> {
+    let mut rules = Rules::default();
+    let Some(policy) = &told.policy else { return Ok(rules) };
+    if let Some(factor) = &policy.overprovisioning_factor {
+        rules.overprovisioning = factor.value;
+    }
+    let at = "policy.endpoint_stale_after";
+    rules.stale_after = policy.endpoint_stale_after.as_ref().map(|d| nanos(at, d)).transpose()?;
+    if rules.stale_after == Some(0) {
+        return Err(Refused::at(at, "0; expected a time over 0"));
+    }
+    rules.weighted_health = policy.weighted_priority_health;
+    let overload = |(i, o): (usize, &DropOverload)| {
+        let at = format!("policy.drop_overloads[{i}]");
+        if o.category.is_empty() {
+            return Err(Refused::at(format!("{at}.category"), "empty"));
+        }
+        let part =
+            o.drop_percentage.as_ref().map_or(Ok(0.0), |p| part(&format!("{at}.drop_percentage"), p))?;
+        Ok(Overload { category: o.category.as_str().into(), part })
+    };
+    rules.overloads = policy.drop_overloads.iter().enumerate().map(overload).collect::<Result<_, _>>()?;
+    Ok(rules)
+}
+
+/// A fraction as a part of 1; more than all counts as all.
+pub fn part(path: &str, told: &FractionalPercent) -> Result<f64, Refused> {
+    let whole = match DenominatorType::try_from(told.denominator) {
+        Ok(DenominatorType::Hundred) => 100.0,
+        Ok(DenominatorType::TenThousand) => 10_000.0,
+        Ok(DenominatorType::Million) => 1_000_000.0,
+        Err(_) => return Err(Refused::at(format!("{path}.denominator"), "not known here")),
+    };
+    Ok((f64::from(told.numerator) / whole).min(1.0))
+}
--- /dev/null
+++ b/crates/envoy/src/session.rs
@@ -0,0 +1,104 @@
+//! The aggregated stream as the subscriber's state machine sees it: what it asks for follows the catalogue, and what comes
+//! goes into it.
+
+use crate::catalogue::Catalogue;
+use crate::common::Source;
+use crate::resource::{decode, Resource};
+use crate::wire::Notes;
+use rushquay_xds::client::{Ask, Backoff, Client, Ended, Retry, ServerAnswer, Session, Taken};
+use rushquay_xds::server::Variant;
+use rushquay_xds::{Kind, Nanos};
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// A session on a catalogue that others change too.
+pub struct Ads {
+    client: Client,
+    catalogue: Rc<RefCell<Catalogue>>,
+    now: Box<dyn Fn() -> Nanos>,
+}
+
+impl Ads {
+    /// For so many addresses. With `sotw` only the state-of-the-world variant is spoken. Waits between attempts to connect
+    /// are from the first up to the second, in nanoseconds; at most `most` resources of a kind are held.
+    pub fn new(
+        addresses: usize,
+        sotw: bool,
+        backoff: (Nanos, Nanos),
+        most: usize,
+        catalogue: Rc<RefCell<Catalogue>>,
+        now: impl Fn() -> Nanos + 'static,
+    ) -> Self {
+        let mut client = Client::new(addresses, Backoff::new(backoff.0, backoff.1), most);
+        if sotw {
+            client.speak_sotw();
+        }
+        Ads { client, catalogue, now: Box::new(now) }
+    }
+
+    fn want(&mut self) -> Vec<Ask> {
+        let catalogue = self.catalogue.borrow();
+        let wanted = Kind::ORDER.map(|kind| (kind, catalogue.wanted(kind)));
+        drop(catalogue);
+        wanted.into_iter().filter_map(|(kind, names)| self.client.want(kind, names).0).collect()
+    }
+}
+
+impl Session for Ads {
+    /// A kind of which something has come.
+    type News = Kind;
+
+    fn address(&self) -> usize {
+        self.client.address()
+    }
+
+    fn variant(&self) -> Variant {
+        self.client.variant()
+    }
+
+    fn connected(&mut self) -> Vec<Ask> {
+        let _ = self.want();
+        self.client.connected()
+    }
+
+    fn woken(&mut self) -> Vec<Ask> {
+        self.want()
+    }
+
+    fn answer(&mut self, answer: ServerAnswer) -> Taken<Kind> {
+        let mut notes = Notes::default();
+        let whole = self.client.variant() == Variant::Sotw;
+        let version = answer.version.clone();
+        let reply = self.client.answer(answer, |kind, came| {
+            let read = decode(kind, &came.body, &mut notes);
+            let (name, item) = read.map_err(|e| e.to_string())?;
+            let name = came.name.clone().unwrap_or(name);
+            let version = if came.version.is_empty() { version.clone() } else { came.version.clone() };
+            let resource = Resource { name: name.clone(), version, item, encoded: came.body.clone() };
+            Ok((name, resource))
+        });
+        let mut asks: Vec<Ask> = reply.ask.into_iter().collect();
+        if let Some(why) = &reply.refused {
+            let kind = asks.first().and_then(|a| match a {
+                Ask::Delta(r) => Kind::of(&r.type_url),
+                Ask::Sotw(r) => Kind::of(&r.type_url),
+            });
+            if let Some(kind) = kind {
+                self.catalogue.borrow_mut().refuse(kind, why.clone());
+            }
+        }
+        let news = reply.update.map(|update| {
+            let resources = update.upserts.into_iter().map(|(_, r)| r).collect();
+            let kind = update.kind;
+            let now = (self.now)();
+            self.catalogue.borrow_mut().take(&Source::Ads, kind, resources, &update.removed, whole, now);
+            kind
+        });
+        asks.extend(self.want());
+        Taken { asks, news, refused: reply.refused, leave: None }
+    }
+
+    fn ended(&mut self, how: Ended, random: f64) -> Retry {
+        self.client.ended(how, random)
+    }
+}
--- /dev/null
+++ b/crates/pools/tests/shares.rs
@@ -0,0 +1,216 @@
+//! The shares of load against a second calculation, plain and slow, written from Envoy's documentation ("Priority
+//! levels", "Degraded endpoints", "Panic threshold", "Locality weighted load balancing").
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rushquay_pools::effective::{effective, Sharing};
+use rushquay_pools::*;
+use std::num::NonZeroU32;
+
+const STATES: [Health; 4] = [Health::Healthy, Health::Degraded, Health::Unhealthy, Health::Draining];
+
+/// Priority, locality weight, and each endpoint's health and weight.
+type Row = (u8, Option<u32>, Vec<(usize, u32)>);
+type Told = Vec<Row>;
+
+fn told() -> impl Strategy<Value = Told> {
+    let weight = prop_oneof![Just(1u32), Just(u32::MAX / 40), 1u32..100];
+    let endpoint = (0usize..4, weight);
+    let locality = (0u8..4, prop::option::of(1u32..50), prop::collection::vec(endpoint, 0..7));
+    prop::collection::vec(locality, 0..6)
+}
+
+fn assignment(told: &Told, factor: u32) -> Assignment {
+    let locality = |(l, (priority, weight, endpoints)): (usize, &Row)| Locality {
+        name: LocalityName { zone: format!("z{l}").into(), ..LocalityName::default() },
+        priority: *priority,
+        weight: weight.and_then(NonZeroU32::new),
+        endpoints: endpoints
+            .iter()
+            .enumerate()
+            .map(|(e, (health, weight))| Endpoint {
+                id: format!("{l}-{e}").into(),
+                addr: format!("127.0.{l}.{}:80", e + 1).parse().expect("an address"),
+                weight: NonZeroU32::new(*weight).expect("over 0"),
+                health: STATES[*health],
+                place: Place::default(),
+                started: None,
+            })
+            .collect(),
+    };
+    let rules = Rules { overprovisioning: factor, ..Rules::default() };
+    Assignment::new(told.iter().enumerate().map(locality).collect(), rules).expect("good")
+}
+
+/// For each endpoint in order its part of 1, by the documents' words, one priority after another.
+fn by_the_book(told: &Told, factor: u32, panic: f64, by_locality: bool) -> Vec<f64> {
+    let all: Vec<(usize, u8, Option<u32>, usize, u32)> = told
+        .iter()
+        .enumerate()
+        .flat_map(|(l, (p, lw, es))| es.iter().map(move |(h, w)| (l, *p, *lw, *h, *w)))
+        .collect();
+    let top = told.iter().map(|t| t.0).max().map_or(0, |p| p + 1);
+    let count = |p: u8, h: &[usize]| all.iter().filter(|e| e.1 == p && h.contains(&e.3)).count() as u64;
+    // "health = 140 x healthy / all, at most 100", degraded ones apart.
+    let health = |p: u8, which: usize| match count(p, &[0, 1, 2, 3]) {
+        0 => 0,
+        n => (u64::from(factor) * count(p, &[which]) / n).min(100),
+    };
+    let total = (0..top).map(|p| health(p, 0) + health(p, 1)).sum::<u64>().min(100);
+    let (mut healthy, mut degraded) = (vec![0u64; top.into()], vec![0u64; top.into()]);
+    {
+        // "load to P0 = min(100, health(P0) x 100 / total); load to P1 = min(100 - what went before, ...)".
+        let mut given = 0;
+        for which in [0, 1] {
+            for p in 0..top {
+                let load = (health(p, which) * 100).checked_div(total).unwrap_or(0).min(100 - given);
+                given += load;
+                if which == 0 {
+                    healthy[usize::from(p)] = load
+                } else {
+                    degraded[usize::from(p)] = load
+                }
+            }
+        }
+        let first = |which| (0..top).find(|p| health(*p, which) > 0);
+        match (first(0), first(1)) {
+            (Some(p), _) => healthy[usize::from(p)] += 100 - given,
+            (None, Some(p)) => degraded[usize::from(p)] += 100 - given,
+            (None, None) => {}
+        }
+    }
+    // "If the total is under 100, a priority with fewer than 50 % available ones panics."
+    let panics = |p: u8| {
+        let n = count(p, &[0, 1, 2, 3]);
+        let available = if n == 0 { 0.0 } else { 100.0 * count(p, &[0, 1]) as f64 / n as f64 };
+        total < 100 && available < panic
+    };
+    let open: u64 = (0..top).map(|p| count(p, &[0, 1, 2])).sum();
+    if open == 0 {
+        return vec![0.0; all.len()];
+    }
+    if (0..top).all(panics) {
+        let mut left = 100;
+        for p in 0..top {
+            healthy[usize::from(p)] = 100 * count(p, &[0, 1, 2]) / open;
+            degraded[usize::from(p)] = 0;
+            left -= healthy[usize::from(p)];
+        }
+        if let Some(p) = (0..top).find(|p| count(*p, &[0, 1, 2]) > 0) {
+            healthy[usize::from(p)] += left;
+        }
+    }
+    let part = |e: &(usize, u8, Option<u32>, usize, u32)| {
+        let p = usize::from(e.1);
+        if panics(e.1) {
+            let sum: f64 = all.iter().filter(|o| o.1 == e.1 && o.3 != 3).map(|o| f64::from(o.4)).sum();
+            return if e.3 == 3 {
+                0.0
+            } else {
+                (healthy[p] + degraded[p]) as f64 / 100.0 * f64::from(e.4) / sum
+            };
+        }
+        let load = match e.3 {
+            0 => healthy[p],
+            1 => degraded[p],
+            _ => return 0.0,
+        } as f64
+            / 100.0;
+        let peers = |l: Option<usize>| -> f64 {
+            let same = |o: &&(usize, u8, Option<u32>, usize, u32)| {
+                o.1 == e.1 && o.3 == e.3 && l.is_none_or(|l| o.0 == l)
+            };
+            all.iter().filter(same).map(|o| f64::from(o.4)).sum()
+        };
+        // "effective weight = weight x min(1, 1.4 x the available part of the locality)".
+        let effective = |l: usize| {
+            let of = |h: &[usize]| all.iter().filter(|o| o.0 == l && h.contains(&o.3)).count() as f64;
+            let weight = f64::from(told[l].1.unwrap_or(0));
+            if of(&[e.3]) == 0.0 {
+                0.0
+            } else {
+                weight * (f64::from(factor) / 100.0 * of(&[e.3]) / of(&[0, 1, 2, 3])).min(1.0)
+            }
+        };
+        let whole: f64 = (0..told.len()).filter(|l| told[*l].0 == e.1).map(effective).sum();
+        match by_locality && whole > 0.0 {
+            true => load * effective(e.0) / whole * f64::from(e.4) / peers(Some(e.0)),
+            false => load * f64::from(e.4) / peers(None),
+        }
+    };
+    let parts: Vec<f64> = all.iter().map(part).collect();
+    let sum: f64 = parts.iter().sum();
+    parts.iter().map(|p| if sum > 0.0 { p / sum } else { 0.0 }).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 3000, rng_seed: RngSeed::Fixed(0x9001), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn shares_are_those_of_the_documentation(
+        told in told(), factor in prop_oneof![Just(140u32), 100u32..300],
+        panic in prop_oneof![Just(50.0f64), Just(0.0), 0.0f64..100.0], by_locality: bool,
+    ) {
+        let assignment = assignment(&told, factor);
+        let sharing = Sharing { panic, fail_on_panic: false, by_locality };
+        let now = effective(&assignment, &sharing, false);
+        let book = by_the_book(&told, factor, panic, by_locality);
+        for (i, (ours, theirs)) in now.parts.iter().zip(&book).enumerate() {
+            prop_assert!((ours - theirs).abs() < 1e-9, "endpoint {i}: {ours}, by the book {theirs}");
+        }
+        // Whatever panics, nothing goes to one that drains; and where one may be sent to without a panic, all is sent.
+        for ((_, e), part) in assignment.endpoints().zip(&now.parts) {
+            prop_assert!(e.health != Health::Draining || *part == 0.0);
+        }
+        let sum: f64 = now.parts.iter().sum();
+        prop_assert!(sum == 0.0 || (sum - 1.0).abs() < 1e-9, "{sum}");
+    }
+}
+
+/// The table of Envoy's page "Priority levels", two and three levels.
+#[test]
+fn the_tables_of_the_documentation() {
+    let load = |healthy: &[u32]| {
+        let told: Told = (0u8..)
+            .zip(healthy)
+            .map(|(p, percent)| (p, None, (0..100).map(|i| (if i < *percent { 0 } else { 2 }, 1)).collect()))
+            .collect();
+        let now = effective(&assignment(&told, 140), &Sharing { panic: 0.0, ..Sharing::default() }, false);
+        now.levels.iter().map(|(_, l)| l.healthy).collect::<Vec<_>>()
+    };
+    for (healthy, expected) in [
+        (vec![100, 100], vec![100, 0]),
+        (vec![72, 72], vec![100, 0]),
+        (vec![71, 71], vec![99, 1]),
+        (vec![50, 50], vec![70, 30]),
+        (vec![25, 100], vec![35, 65]),
+        (vec![25, 25], vec![50, 50]),
+        (vec![100, 100, 100], vec![100, 0, 0]),
+        (vec![50, 50, 50], vec![70, 30, 0]),
+        (vec![25, 100, 100], vec![35, 65, 0]),
+        (vec![25, 25, 25], vec![35, 35, 30]),
+    ] {
+        assert_eq!(load(&healthy), expected, "{healthy:?}");
+    }
+}
+
+#[test]
+fn weights_from_one_to_the_largest_keep_their_ratio() {
+    let told: Told = vec![(0, None, vec![(0, 1), (0, u32::MAX - 1)])];
+    let now = effective(&assignment(&told, 140), &Sharing::default(), false);
+    assert!((now.parts[0] * f64::from(u32::MAX) - 1.0).abs() < 1e-6, "{:?}", now.parts);
+}
+
+/// What falls to a priority that panics and may not is refused, and not given to the others.
+#[test]
+fn a_panic_that_is_not_allowed_refuses_its_part() {
+    let told: Told = vec![
+        (0, None, vec![(0, 1), (2, 1), (2, 1), (2, 1)]),
+        (1, None, vec![(0, 1), (0, 1), (2, 1), (2, 1), (2, 1)]),
+    ];
+    let sharing = Sharing { fail_on_panic: true, ..Sharing::default() };
+    let now = effective(&assignment(&told, 140), &sharing, false);
+    assert!((now.refused - 1.0).abs() < 1e-9, "{now:?}");
+    let calm = effective(&assignment(&told, 140), &Sharing { panic: 0.0, ..sharing }, false);
+    assert_eq!(calm.refused, 0.0);
+}
--- /dev/null
+++ b/crates/routes/tests/table.rs
@@ -0,0 +1,269 @@
+//! Routes against a plain search through all of them, and each sort of match by hand.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rushquay_routes::text::{whole, HeaderIs, HeaderMatch, QueryMatch, Text, TextMatch};
+use rushquay_routes::*;
+
+#[derive(Clone, Default)]
+struct Asked {
+    authority: String,
+    path: String,
+    query: String,
+    headers: Vec<(String, String)>,
+}
+
+impl Head for Asked {
+    fn authority(&self) -> &str {
+        &self.authority
+    }
+    fn path(&self) -> &str {
+        &self.path
+    }
+    fn query(&self) -> &str {
+        &self.query
+    }
+    fn method(&self) -> &str {
+        "GET"
+    }
+    fn header<'a>(&'a self, name: &'a str) -> Box<dyn Iterator<Item = &'a str> + 'a> {
+        Box::new(self.headers.iter().filter(move |(n, _)| n == name).map(|(_, v)| v.as_str()))
+    }
+}
+
+fn asked(path: &str) -> Asked {
+    Asked { path: path.into(), authority: "x".into(), ..Asked::default() }
+}
+
+fn to(cluster: &str) -> Action {
+    forward(Clusters::One(cluster.into()), None)
+}
+
+fn forward(clusters: Clusters, rewrite: Option<Rewrite>) -> Action {
+    let (not_found, importance) = (503, Importance::Default);
+    Action::Forward { clusters, not_found, rewrite, host: None, timeout: None, retries: None, importance }
+}
+
+fn route(path: PathMatch, action: Action) -> Route {
+    let matcher = Matcher { path, case: true, headers: vec![], query: vec![], part: None };
+    Route {
+        name: String::new(),
+        matcher,
+        action,
+        class: None,
+        request: Mutations::default(),
+        response: Mutations::default(),
+    }
+}
+
+fn host(domains: &[&str], routes: Vec<Route>) -> Host {
+    let domains: Vec<String> = domains.iter().map(|d| d.to_string()).collect();
+    Host {
+        name: domains_name(&domains),
+        domains,
+        routes,
+        request: Mutations::default(),
+        response: Mutations::default(),
+    }
+}
+
+fn domains_name(domains: &[String]) -> String {
+    domains.join(" ")
+}
+
+fn name(found: Option<Found<'_>>) -> Option<String> {
+    match &found?.route.action {
+        Action::Forward { clusters: Clusters::One(name), .. } => Some(name.to_string()),
+        _ => None,
+    }
+}
+
+fn path_match() -> impl Strategy<Value = (u8, String, bool)> {
+    (0u8..4, "(/[ab]{0,2}){1,3}", any::<bool>())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, rng_seed: RngSeed::Fixed(0x70), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever order thousands of routes stand in, the first that fits counts.
+    #[test]
+    fn the_index_finds_what_a_plain_search_finds(
+        told in prop::collection::vec(path_match(), 0..60),
+        paths in prop::collection::vec("(/[abA]{0,3}){1,4}", 1..20),
+    ) {
+        let routes: Vec<Route> = told.iter().enumerate().map(|(i, (sort, text, case))| {
+            let path = match sort {
+                0 => PathMatch::Prefix(text.clone()),
+                1 => PathMatch::Exact(text.clone()),
+                2 => PathMatch::Under(text.trim_end_matches('/').to_owned()),
+                _ => PathMatch::Regex(whole(&format!("{text}[ab]*")).expect("an expression")),
+            };
+            let mut route = route(path, to(&i.to_string()));
+            route.matcher.case = *case;
+            route
+        }).collect();
+        let table = Table::new("t", vec![host(&["*"], routes.clone())]).expect("good");
+        for path in &paths {
+            let plain = routes.iter().position(|r| r.matcher.path_fits(path)).map(|i| i.to_string());
+            prop_assert_eq!(name(table.find(&asked(path), || 0.0)), plain, "{}", path);
+        }
+    }
+}
+
+#[test]
+fn domains_are_tried_from_the_most_to_the_least_exact() {
+    let one = |d: &str| host(&[d], vec![route(PathMatch::Prefix("/".into()), to(d))]);
+    let domains = ["*", "*.org", "*.a.org", "www.a.org", "www.*", "www.a.*", "b.org:81"];
+    let table = Table::new("t", domains.iter().map(|d| one(d)).collect()).expect("good");
+    for (authority, expected) in [
+        ("www.a.org", "www.a.org"),
+        ("WWW.A.ORG", "www.a.org"),
+        ("x.a.org", "*.a.org"),
+        ("b.org", "*.org"),
+        ("b.org:81", "b.org:81"),
+        ("www.a.com", "www.a.*"),
+        ("www.b.com", "www.*"),
+        (".a.org", "*.org"),
+        ("elsewhere", "*"),
+        ("www.a.org:80", "www.a.*"),
+    ] {
+        let mut head = asked("/");
+        head.authority = authority.into();
+        assert_eq!(name(table.find(&head, || 0.0)).as_deref(), Some(expected), "{authority}");
+    }
+    let mut head = asked("/");
+    head.authority = "www.a.org:80".into();
+    assert_eq!(name(table.without_ports(true).find(&head, || 0.0)).as_deref(), Some("www.a.org"));
+    let twice = Table::new("t", vec![one("a.org"), one("A.org")]).expect_err("twice").to_string();
+    assert!(twice.starts_with("virtual_hosts[1].domains[0]"), "{twice}");
+    assert!(Table::new("t", vec![one("a.*.org")]).is_err());
+    assert!(name(Table::new("t", vec![one("a.org")]).expect("good").find(&asked("/"), || 0.0)).is_none());
+}
+
+#[test]
+fn headers_and_parameters_decide_after_the_path() {
+    let header = |is, invert, missing_is_empty| {
+        let mut r = route(PathMatch::Prefix("/".into()), to("it"));
+        r.matcher.headers = vec![HeaderMatch { name: "x-plant".into(), is, invert, missing_is_empty }];
+        Table::new("t", vec![host(&["*"], vec![r])]).expect("good")
+    };
+    let text = |t, fold| HeaderIs::Text(TextMatch::new(t, fold));
+    let fits = |table: &Table, values: &[&str]| {
+        let mut head = asked("/");
+        head.headers = values.iter().map(|v| ("x-plant".to_owned(), v.to_string())).collect();
+        table.find(&head, || 0.0).is_some()
+    };
+    let exact = header(text(Text::Exact("Surat".into()), false), false, false);
+    assert!(fits(&exact, &["Surat"]) && !fits(&exact, &["surat"]) && !fits(&exact, &[]));
+    let folded = header(text(Text::Exact("Surat".into()), true), false, false);
+    assert!(fits(&folded, &["sURAT"]));
+    let not = header(text(Text::Prefix("su".into()), false), true, false);
+    assert!(!fits(&not, &["surat"]) && fits(&not, &["rajkot"]) && fits(&not, &[]));
+    let empty = header(text(Text::Exact(String::new()), false), false, true);
+    assert!(fits(&empty, &[]) && !fits(&empty, &["x"]));
+    let there = header(HeaderIs::Present(true), false, false);
+    assert!(fits(&there, &[""]) && !fits(&there, &[]));
+    let absent = header(HeaderIs::Present(false), false, true);
+    assert!(fits(&absent, &[]) && !fits(&absent, &["x"]));
+    let range = header(HeaderIs::Range(-5, 10), false, false);
+    assert!(fits(&range, &["-5"]) && fits(&range, &["9"]) && !fits(&range, &["10"]) && !fits(&range, &["x"]));
+    let joined = header(text(Text::Exact("a,b".into()), false), false, false);
+    assert!(fits(&joined, &["a", "b"]));
+    let expression = header(text(Text::Regex(whole("a|b").expect("good")), false), false, false);
+    assert!(fits(&expression, &["b"]) && !fits(&expression, &["ab"]), "the whole of it");
+
+    let mut r = route(PathMatch::Prefix("/".into()), to("it"));
+    r.matcher.query = vec![
+        QueryMatch { name: "zone".into(), is: Some(TextMatch::new(Text::Suffix("ra".into()), false)) },
+        QueryMatch { name: "dry".into(), is: None },
+    ];
+    let table = Table::new("t", vec![host(&["*"], vec![r])]).expect("good");
+    for (query, expected) in [
+        ("zone=vadodara&dry", true),
+        ("dry=0&zone=vadodara", true),
+        ("zone=surat&dry", false),
+        ("zone=vadodara", false),
+        ("", false),
+    ] {
+        let head = Asked { query: query.into(), ..asked("/") };
+        assert_eq!(table.find(&head, || 0.0).is_some(), expected, "{query}");
+    }
+}
+
+#[test]
+fn a_part_of_the_requests_takes_another_route() {
+    let mut trial = route(PathMatch::Prefix("/".into()), to("trial"));
+    trial.matcher.part = Some(0.25);
+    let table =
+        Table::new("t", vec![host(&["*"], vec![trial, route(PathMatch::Prefix("/".into()), to("rest"))])])
+            .expect("good");
+    let taken = (0..1000)
+        .filter(|i| name(table.find(&asked("/"), || f64::from(*i) / 1000.0)).as_deref() == Some("trial"));
+    assert_eq!(taken.count(), 250);
+}
+
+#[test]
+fn weights_share_requests_and_a_key_keeps_its_cluster() {
+    let weighted = |name: &str, weight| Weighted {
+        cluster: name.into(),
+        weight,
+        request: Mutations::default(),
+        response: Mutations::default(),
+        host: None,
+    };
+    let clusters =
+        Clusters::Weighted(vec![weighted("a", 1), weighted("none", 0), weighted("b", u32::MAX - 1)]);
+    let head = asked("/");
+    assert_eq!(clusters.pick(&head, 0.0).map(|p| p.0), Some("a"));
+    assert_eq!(clusters.pick(&head, 0.5).map(|p| p.0), Some("b"));
+    assert_eq!(clusters.pick(&head, 0.999_999_999_999).map(|p| p.0), Some("b"));
+    let head = Asked { headers: vec![("x-to".into(), "c".into())], ..asked("/") };
+    assert_eq!(Clusters::Header("x-to".into()).pick(&head, 0.0).map(|p| p.0), Some("c"));
+    assert!(Clusters::Header("x-to".into()).pick(&asked("/"), 0.0).is_none());
+}
+
+#[test]
+fn paths_are_rewritten_where_they_matched() {
+    let prefix =
+        |path, to: &str| route(path, forward(Clusters::One("c".into()), Some(Rewrite::Prefix(to.into()))));
+    assert_eq!(
+        prefix(PathMatch::Prefix("/old".into()), "/new").rewritten("/old/k").as_deref(),
+        Some("/new/k")
+    );
+    assert_eq!(prefix(PathMatch::Exact("/old".into()), "/new").rewritten("/old").as_deref(), Some("/new"));
+    let expression = regex::Regex::new("^/plant/([^/]+)/(.*)$").expect("good");
+    let swap = Rewrite::Regex(expression, "/${2}/at/${1}".into());
+    let swap = route(PathMatch::Prefix("/".into()), forward(Clusters::One("c".into()), Some(swap)));
+    assert_eq!(swap.rewritten("/plant/7/read").as_deref(), Some("/read/at/7"));
+    assert_eq!(swap.rewritten("/else").as_deref(), Some("/else"));
+}
+
+#[test]
+fn a_policy_allows_what_it_names_and_no_more() {
+    let policy = |on, most| Retries { most, per_try: 0, on, codes: vec![418] };
+    let all = [
+        Ended::ConnectFailure,
+        Ended::Reset,
+        Ended::TimedOut,
+        Ended::Overloaded,
+        Ended::Status(500),
+        Ended::Status(503),
+        Ended::Status(409),
+        Ended::Status(418),
+    ];
+    let allowed = |on| all.map(|e| policy(on, 9).allow(1, Some(e)));
+    assert_eq!(allowed(Retries::CONNECT), [true, false, false, false, false, false, false, false]);
+    assert_eq!(allowed(Retries::RESET), [true, true, true, false, false, false, false, false]);
+    assert_eq!(allowed(Retries::SERVER), [true, true, true, true, true, true, false, false]);
+    assert_eq!(allowed(Retries::GATEWAY), [true, true, true, true, false, true, false, false]);
+    assert_eq!(
+        allowed(Retries::CONFLICT | Retries::CODES),
+        [false, false, false, false, false, false, true, true]
+    );
+    assert_eq!(allowed(0), [false; 8]);
+    assert!(
+        policy(Retries::SERVER, 2).allow(2, Some(Ended::Reset))
+            && !policy(Retries::SERVER, 2).allow(3, Some(Ended::Reset))
+    );
+    assert!(policy(0, 1).allow(1, None), "a second copy is no repeat of what failed");
+}
--- a/crates/xds/src/client/mod.rs
+++ b/crates/xds/src/client/mod.rs
@@ -99,6 +99,10 @@
     fn variant(&self) -> Variant;
     /// A stream is open: what to send first.
     fn connected(&mut self) -> Vec<Ask>;
+    /// What is wanted has changed for another reason than an answer: what to send for it on the open stream.
+    fn woken(&mut self) -> Vec<Ask> {
+        Vec::new()
+    }
     /// Takes an answer.
     fn answer(&mut self, answer: ServerAnswer) -> Taken<Self::News>;
     /// The stream has ended, or could not be opened. `random` is from 0 up to 1.
@@ -137,13 +141,28 @@
     at: usize,
     connected: bool,
     most: usize,
+    no_delta: bool,
 }
 
 impl Client {
     /// For so many addresses (one at least), that holds at most `most` resources of a kind.
     pub fn new(addresses: usize, backoff: Backoff, most: usize) -> Self {
         let only_sotw = vec![false; addresses.max(1)];
-        Client { watches: Default::default(), backoff, only_sotw, at: 0, connected: false, most }
+        Client {
+            watches: Default::default(),
+            backoff,
+            only_sotw,
+            at: 0,
+            connected: false,
+            most,
+            no_delta: false,
+        }
+    }
+
+    /// Speaks the state-of-the-world variant alone, at all addresses.
+    pub fn speak_sotw(&mut self) {
+        self.no_delta = true;
+        self.only_sotw.fill(true);
     }
 
     /// The address to connect to next, from 0.
@@ -284,7 +303,7 @@
         // Danger: to stay with an address that takes connections and breaks each would keep the proxy from the next.
         self.at = (self.at + 1) % self.only_sotw.len();
         // Another process may listen there by then.
-        self.only_sotw[self.at] &= how == Ended::Unimplemented;
+        self.only_sotw[self.at] &= how == Ended::Unimplemented || self.no_delta;
         match how {
             Ended::StandsBy => self.backoff.stands_by(random),
             Ended::Unimplemented | Ended::Broken => self.backoff.failed(random),
@@ -299,6 +318,15 @@
 }
 
 impl Watch {
+    /// The names to ask for. All of them are asked for by naming none ("How the client specifies what resources to
+    /// return"): servers that are older than `*` know that alone.
+    fn asked(&self, kind: Kind) -> Vec<String> {
+        match kind.whole() && self.names.len() == 1 && self.names.contains("*") {
+            true => Vec::new(),
+            false => self.names.iter().cloned().collect(),
+        }
+    }
+
     fn patterns(&self) -> Vec<Pattern> {
         self.names.iter().map(|n| Pattern::parse(n)).collect()
     }
@@ -309,7 +337,7 @@
             Variant::Sotw => self.sotw(kind, None),
             Variant::Delta => Ask::Delta(DeltaRequest {
                 type_url: kind.type_url().into(),
-                subscribe: self.names.iter().cloned().collect(),
+                subscribe: self.asked(kind),
                 initial_versions: self.held.clone(),
                 ..DeltaRequest::default()
             }),
@@ -324,7 +352,7 @@
         Ask::Sotw(SotwRequest {
             type_url: kind.type_url().into(),
             version: self.version.clone(),
-            names: self.names.iter().cloned().collect(),
+            names: self.asked(kind),
             nonce: self.nonce.clone(),
             error,
         })
