--- a/crates/control-service/src/admin.rs
+++ b/crates/control-service/src/admin.rs
@@ -34,14 +34,19 @@
         .fallback(|| async { (StatusCode::NOT_FOUND, "/status, /metrics, /healthz or /v1/overrides\n") })
         .layer(DefaultBodyLimit::max(BODY_MOST))
         .with_state(shared);
-    let places = Arc::new(Semaphore::new(CONNECTIONS));
+    serve_pages(listener, routes, CONNECTIONS).await;
+}
+
+/// Serves pages for operators for good, to so many connections at once.
+pub async fn serve_pages(listener: TcpListener, pages: Router, connections: usize) {
+    let places = Arc::new(Semaphore::new(connections));
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        let service = TowerToHyperService::new(routes.clone());
+        let service = TowerToHyperService::new(pages.clone());
         tokio::spawn(async move {
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
--- a/crates/control-service/src/file.rs
+++ b/crates/control-service/src/file.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 
-const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// How often a file is looked at.
+pub const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Looks after a change at which the file is read again whatever its stamp says. Danger: two writes within one tick
 /// of the file system's clock leave the same stamp.
 const READ_AGAIN: u32 = 3;
@@ -25,6 +26,30 @@
     Some(Stamp { inode: m.ino(), length: m.len(), modified: (m.mtime(), m.mtime_nsec()) })
 }
 
+/// A file that is looked at again and again.
+#[derive(Default)]
+pub struct Watched {
+    seen: Option<Option<Stamp>>,
+    looks: u32,
+}
+
+impl Watched {
+    /// Has it read at the next looks, whatever its stamp says.
+    pub fn again(&mut self) {
+        self.looks = READ_AGAIN;
+    }
+
+    /// Whether it is to be read now. `Some(true)`: and again soon, so that a fault may still pass.
+    pub fn look(&mut self, path: &Path) -> Option<bool> {
+        let now = Some(stamp(path));
+        if now != self.seen {
+            (self.seen, self.looks) = (now, READ_AGAIN);
+        }
+        self.looks = self.looks.checked_sub(1)?;
+        Some(self.looks > 0)
+    }
+}
+
 /// Reads the file, strictly.
 pub fn read(path: &Path) -> Result<Members, String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
@@ -33,17 +58,11 @@
 
 /// Follows for good; a message on `again` has the file read at once. What can't be read changes nothing.
 pub async fn follow(path: PathBuf, told: mpsc::Sender<Told>, mut again: mpsc::Receiver<()>) {
-    let mut seen = None;
-    let mut looks = READ_AGAIN;
+    let mut watched = Watched::default();
     let mut last_fault = String::new();
     let mut last_text = None;
     loop {
-        let now = stamp(&path);
-        if now != seen {
-            (seen, looks) = (now, READ_AGAIN);
-        }
-        if looks > 0 {
-            looks -= 1;
+        if let Some(soon) = watched.look(&path) {
             match read(&path) {
                 Ok(list) => {
                     last_fault.clear();
@@ -55,7 +74,7 @@
                     }
                 }
                 // Half-written files pass; each fault is told once.
-                Err(fault) if looks == 0 && fault != last_fault => {
+                Err(fault) if !soon && fault != last_fault => {
                     last_fault.clone_from(&fault);
                     // A file that is mended to what it was before has to be told as well.
                     last_text = None;
@@ -69,7 +88,8 @@
         tokio::select! {
             () = tokio::time::sleep(LOOK_EVERY) => {}
             Some(()) = again.recv() => {
-                (looks, last_text) = (READ_AGAIN, None);
+                watched.again();
+                last_text = None;
                 last_fault.clear();
             }
         }
--- a/crates/control-service/src/lib.rs
+++ b/crates/control-service/src/lib.rs
@@ -14,6 +14,8 @@
 mod standby;
 mod time;
 
+pub use admin::serve_pages;
+pub use file::{Watched, LOOK_EVERY};
 pub use service::{start, ControlService, Options, StartError};
 pub use settings::{
     read_settings, LimitSettings, OverrideSettings, Settings, SettingsError, SourceOption, StandbySettings,
--- a/crates/envoy/src/catalogue/mod.rs
+++ b/crates/envoy/src/catalogue/mod.rs
@@ -4,8 +4,11 @@
 //! A resource stands until a newer one of its name replaces it or its removal is told; a break of the stream changes
 //! nothing. Source: the xDS protocol, "Eventual consistency considerations" and "Resource warming".
 
+mod batch;
 mod settle;
 
+pub use batch::Batch;
+
 use crate::cluster::{Cluster, Members};
 use crate::common::{From, Source};
 use crate::listener::{Listener, Routes};
@@ -21,6 +24,9 @@
 /// A table that names clusters which are not there waits for them so long, while the one before it goes on.
 pub const ROUTES_WAIT: Nanos = 5_000_000_000;
 
+/// The clusters that an aggregate stands for, with percent for each.
+pub type Split = Vec<(Arc<str>, u32)>;
+
 /// A cluster as requests are sent to it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Spec {
@@ -50,7 +56,7 @@
     /// The part of its requests that is refused, and the parts of overloads.
     Shed(Arc<str>, f64, Vec<Overload>),
     /// It stands for others: percent for each.
-    Split(Arc<str>, Vec<(Arc<str>, u32)>),
+    Split(Arc<str>, Split),
     /// Other routes hold; `None`: there are none.
     Routes(Option<Arc<Table>>),
     /// A cluster is gone.
@@ -83,7 +89,7 @@
     fixed: bool,
     told: Option<Arc<Spec>>,
     shed: (f64, Vec<Overload>),
-    split: Vec<(Arc<str>, u32)>,
+    split: Split,
     /// Nodes of the origin as they were last told, by id.
     origin: BTreeMap<Arc<str>, Node>,
 }
--- a/crates/envoy/tests/catalogue.rs
+++ b/crates/envoy/tests/catalogue.rs
@@ -194,6 +194,17 @@
     assert_eq!(world.routed(), ["b"]);
 }
 
+#[test]
+fn endpoints_that_come_before_their_cluster_are_asked_for_again() {
+    let mut world = World::new(DYNAMIC);
+    world.tell(Kind::Endpoints, vec![endpoints("a", &[1])], &[]);
+    assert!(world.catalogue.kept().is_empty(), "nothing refers to them");
+    world.tell(Kind::Cluster, vec![eds("a")], &[]);
+    assert_eq!(world.catalogue.wanted(Kind::Endpoints), BTreeSet::from(["a".to_owned()]));
+    world.tell(Kind::Endpoints, vec![endpoints("a", &[1])], &[]);
+    assert_eq!(world.nodes("a"), Some(vec!["127.0.0.1"]));
+}
+
 #[test]
 fn a_cluster_is_renamed() {
     let mut world = World::new(DYNAMIC);
--- a/crates/routes/src/route.rs
+++ b/crates/routes/src/route.rs
@@ -5,6 +5,7 @@
 use crate::text::{HeaderMatch, QueryMatch};
 use crate::{Head, Nanos};
 use regex::Regex;
+use std::borrow::Cow;
 use std::sync::Arc;
 
 /// How the path must be. Queries don't count.
@@ -174,11 +175,12 @@
 impl Clusters {
     /// The cluster that a request goes to, with the part of weighted ones that it came by. `at` is from 0 up to 1; the same
     /// number leads to the same cluster for as long as the weights stand.
-    pub fn pick<'c>(&'c self, head: &'c dyn Head, at: f64) -> Option<(&'c str, Option<&'c Weighted>)> {
+    pub fn pick(&self, head: &dyn Head, at: f64) -> Option<(Cow<'_, str>, Option<&Weighted>)> {
         match self {
-            Clusters::One(name) => Some((name, None)),
+            Clusters::One(name) => Some((Cow::Borrowed(name), None)),
             Clusters::Header(header) => {
-                head.header(header).next().filter(|n| !n.is_empty()).map(|n| (n, None))
+                let named = head.header(header).next().filter(|n| !n.is_empty());
+                named.map(|n| (Cow::Owned(n.to_owned()), None))
             }
             Clusters::Weighted(parts) => {
                 let whole: u64 = parts.iter().map(|p| u64::from(p.weight)).sum();
@@ -189,7 +191,7 @@
                     point = point.saturating_sub(weight);
                     here
                 });
-                here.map(|p| (&*p.cluster, Some(p)))
+                here.map(|p| (Cow::Borrowed(&*p.cluster), Some(p)))
             }
         }
     }
--- a/crates/routes/tests/table.rs
+++ b/crates/routes/tests/table.rs
@@ -214,11 +214,14 @@
     let clusters =
         Clusters::Weighted(vec![weighted("a", 1), weighted("none", 0), weighted("b", u32::MAX - 1)]);
     let head = asked("/");
-    assert_eq!(clusters.pick(&head, 0.0).map(|p| p.0), Some("a"));
-    assert_eq!(clusters.pick(&head, 0.5).map(|p| p.0), Some("b"));
-    assert_eq!(clusters.pick(&head, 0.999_999_999_999).map(|p| p.0), Some("b"));
+    assert_eq!(clusters.pick(&head, 0.0).map(|p| p.0).as_deref(), Some("a"));
+    assert_eq!(clusters.pick(&head, 0.5).map(|p| p.0).as_deref(), Some("b"));
+    assert_eq!(clusters.pick(&head, 0.999_999_999_999).map(|p| p.0).as_deref(), Some("b"));
     let head = Asked { headers: vec![("x-to".into(), "c".into())], ..asked("/") };
-    assert_eq!(Clusters::Header("x-to".into()).pick(&head, 0.0).map(|p| p.0), Some("c"));
+    assert_eq!(
+        Clusters::Header("x-to".into()).pick(&head, 0.0).map(|p| p.0.into_owned()).as_deref(),
+        Some("c")
+    );
     assert!(Clusters::Header("x-to".into()).pick(&asked("/"), 0.0).is_none());
 }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -32,7 +32,16 @@
     F: Fn(Request<hyper::body::Incoming>) -> A + Send + Sync + 'static,
     A: Future<Output = Option<Response<Body>>> + Send + 'static,
 {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port on loopback");
+    http_at(([127, 0, 0, 1], 0).into(), answer).await
+}
+
+/// The same at an address that must be free.
+async fn http_at<F, A>(addr: SocketAddr, answer: F) -> (SocketAddr, JoinHandle<()>)
+where
+    F: Fn(Request<hyper::body::Incoming>) -> A + Send + Sync + 'static,
+    A: Future<Output = Option<Response<Body>>> + Send + 'static,
+{
+    let listener = TcpListener::bind(addr).await.expect("a free port on loopback");
     let addr = listener.local_addr().expect("an address");
     let answer = Arc::new(answer);
     let task = tokio::spawn(async move {
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -1,6 +1,6 @@
 //! A cache node, or the origin: it keeps everything, or lacks what it is told to, and drops repeats of a token.
 
-use crate::{http, reply};
+use crate::{http_at, reply};
 use http_body_util::BodyExt;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -35,11 +35,20 @@
         Self::start_lacking(id, work, |_| false).await
     }
 
+    /// Starts one at an address that must be free.
+    pub async fn start_at(addr: SocketAddr, id: &str, work: Duration) -> Self {
+        Self::start_as(addr, id, work, |_| false).await
+    }
+
     /// Starts one that lacks what is at the paths for which `lacks` holds.
     pub async fn start_lacking(id: &str, work: Duration, lacks: fn(&str) -> bool) -> Self {
+        Self::start_as(([127, 0, 0, 1], 0).into(), id, work, lacks).await
+    }
+
+    async fn start_as(addr: SocketAddr, id: &str, work: Duration, lacks: fn(&str) -> bool) -> Self {
         let book = Arc::new(Mutex::new(Book::default()));
         let (booked, name) = (book.clone(), id.to_owned());
-        let (addr, task) = http(move |request| {
+        let (addr, task) = http_at(addr, move |request| {
             let (book, name) = (booked.clone(), name.clone());
             async move {
                 let header =
--- a/crates/xds-grpc/src/client.rs
+++ b/crates/xds-grpc/src/client.rs
@@ -2,13 +2,15 @@
 
 use crate::server::{STANDS_BY, TIME};
 use crate::{convert, Tls};
+use envoy_types::pb::envoy::config::core::v3::Node;
 use envoy_types::pb::envoy::service::discovery::v3::aggregated_discovery_service_client::AggregatedDiscoveryServiceClient;
 use rushquay_xds::client::{Ask, Ended, Session};
 use rushquay_xds::server::Variant;
 use rushquay_xds::Nanos;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, Notify};
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::metadata::MetadataMap;
 use tonic::transport::{Channel, Endpoint};
@@ -35,6 +37,10 @@
     pub tls: Option<(Tls, String)>,
     /// An answer is at most this long, in bytes.
     pub message: usize,
+    /// The whole `node`, where it says more than id and cluster; it goes before those.
+    pub identity: Option<Box<Node>>,
+    /// Told when the session wants something else for another reason than an answer.
+    pub wake: Option<Arc<Notify>>,
 }
 
 /// What happens on the client's side.
@@ -111,7 +117,8 @@
     let mut client =
         AggregatedDiscoveryServiceClient::new(channel).max_decoding_message_size(options.message);
     // The node stands in the first request alone ("Only the first request on a stream").
-    let mut node = Some(convert::node(&options.node, &options.cluster));
+    let node = convert::node(&options.node, &options.cluster);
+    let mut node = Some(options.identity.as_ref().map_or(node, |own| (**own).clone()));
     let (delta, delta_asks) = mpsc::channel(16);
     let (sotw, sotw_asks) = mpsc::channel(16);
     let gone = |_| Status::unavailable("the stream has ended");
@@ -156,8 +163,20 @@
                 Reading::Sotw(s) => s.message().await?.map(convert::from_sotw_response),
             })
         };
+        let woken = async {
+            match &options.wake {
+                Some(wake) => wake.notified().await,
+                None => std::future::pending().await,
+            }
+        };
         let answer = tokio::select! {
             answer = answer => answer?,
+            () = woken => {
+                for ask in session.woken() {
+                    send(ask).await?;
+                }
+                continue;
+            }
             // A server that told no time is not asked for it.
             _ = looks.tick(), if clock.is_some() => {
                 if let Some((ahead, error)) = look(&mut clocks, now).await {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -29,6 +29,9 @@
         /// Subscribe to a control service as this file (TOML) says.
         #[arg(long, value_name = "FILE")]
         control: Option<PathBuf>,
+        /// Take clusters, endpoints and routes in Envoy's form as this file (TOML) says, in place of discovery.
+        #[arg(long, value_name = "FILE", conflicts_with = "control")]
+        envoy: Option<PathBuf>,
     },
     /// The control service: follows the node list and hands it out as xDS.
     #[command(args_conflicts_with_subcommands = true, subcommand_negates_reqs = true)]
@@ -67,10 +70,15 @@
         #[arg(long)]
         once: bool,
     },
-    /// Checks a node list, a proxy's configuration, or settings of either command; names what is wrong.
+    /// Checks a node list, a proxy's configuration, settings of either command, or an Envoy bootstrap file; names what is
+    /// wrong, and of a bootstrap file what will be obeyed.
     Check {
-        /// The file: .json or .toml.
-        file: PathBuf,
+        /// The file: .json, .yaml or .toml.
+        #[arg(required_unless_present = "fields")]
+        file: Option<PathBuf>,
+        /// Print what becomes of every field of Envoy's form, as Markdown.
+        #[arg(long, conflicts_with = "file")]
+        fields: bool,
     },
 }
 
@@ -86,7 +94,7 @@
 /// Does what the command line says.
 pub fn run() -> Result<(), String> {
     match Cli::parse().command {
-        Command::Proxy { control } => proxy(control),
+        Command::Proxy { control, envoy } => proxy(control, envoy),
         Command::Control { command: Some(ControlCommand::State { command }), .. } => state::run(command),
         Command::Control {
             listen,
@@ -116,10 +124,14 @@
         }
         Command::Override(args) => threads()?.block_on(overrides::run(args)),
         Command::Demo { once } => threads()?.block_on(async { demo::demo(once, ending()?).await }),
-        Command::Check { file } => {
+        Command::Check { file: Some(file), .. } => {
             println!("{}", check::check(&file)?);
             Ok(())
         }
+        Command::Check { file: None, .. } => {
+            print!("{}", rushquay_envoy::fields::page());
+            Ok(())
+        }
     }
 }
 
@@ -140,13 +152,14 @@
 }
 
 /// One proxy, on one thread. It rereads its file on SIGHUP and ends on SIGTERM or SIGINT.
-pub fn proxy(control: Option<PathBuf>) -> Result<(), String> {
+pub fn proxy(control: Option<PathBuf>, envoy: Option<PathBuf>) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("the runtime: {e}"))?;
     let run = async {
         // Danger: until it is handled this signal ends the process.
         let hangup = hangup()?;
-        let mut config = net::config::Config::from_env()?;
+        let envoy = envoy.map(|path| (net::config::ENVOY, path.display().to_string()));
+        let mut config = net::config::Config::from_env_and(envoy.as_slice())?;
         if let Some(path) = control {
             config.control =
                 Some(net::subscription::ControlSource::read(&path).map_err(|e| format!("--control: {e}"))?);
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,7 +8,7 @@
 fn main() -> ExitCode {
     let done = match std::env::args_os().len() {
         // As deployed: the environment says all.
-        0 | 1 => cli::proxy(None),
+        0 | 1 => cli::proxy(None, None),
         _ => cli::run(),
     };
     match done {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,5 +1,6 @@
 //! What the platform tells a proxy: the `PROXY_*` variables and the JSON file that they name.
 
+use super::envoy::EnvoySource;
 use super::subscription::ControlSource;
 use crate::api::{server_id, Entry, Settings, State};
 use rushquay_nodes::{Member, Members, NodeState};
@@ -11,6 +12,8 @@
 const DISCOVERY: &str = "PROXY_DISCOVERY";
 /// Names the file that switches the subscription to a control service on.
 pub const CONTROL: &str = "PROXY_CONTROL";
+/// Names the file that has clusters, endpoints and routes come in Envoy's form.
+pub const ENVOY: &str = "PROXY_ENVOY";
 /// Sockets that a proxy may hold where nothing is said.
 const SOCKETS: usize = 1024;
 
@@ -23,8 +26,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Discovery's address.
-    pub discovery: SocketAddr,
+    /// Discovery's address; needed unless clusters come in Envoy's form.
+    pub discovery: Option<SocketAddr>,
     /// For random numbers, new with each start.
     pub seed: u64,
     /// Descriptors that it may hold.
@@ -41,6 +44,8 @@
     pub known: Option<Members>,
     /// A control service to subscribe to; `None`: the proxy follows its own discovery alone.
     pub control: Option<ControlSource>,
+    /// Clusters, endpoints and routes in Envoy's form, in place of discovery.
+    pub envoy: Option<EnvoySource>,
 }
 
 /// The names that stand on the sockets for what the module knows by number.
@@ -60,9 +65,14 @@
         // A name that the settings do not list is none of those that they do.
         let index =
             |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len()) as u32;
+        // Danger: two such zones taken for one would be taken for one group that drops repeats.
+        let zone = match index(&self.zones, &m.zone) {
+            known if (known as usize) < self.zones.len() || m.zone.is_empty() => known,
+            _ => (1 << 30) + (server_id(&m.zone) >> 34) as u32,
+        };
         let entry = Entry {
             server: server_id(&m.id),
-            zone: index(&self.zones, &m.zone),
+            zone,
             kind: index(&self.kinds, &m.kind),
             cell: m.cell,
             state: match m.state {
@@ -80,7 +90,13 @@
 impl Config {
     /// Reads the environment and the file that it names. An error names the variable or the field at fault.
     pub fn from_env() -> Result<Self, String> {
-        Self::read(|name| std::env::var(name).ok())
+        Self::from_env_and(&[])
+    }
+
+    /// The same, with variables that go before those of the environment.
+    pub fn from_env_and(told: &[(&str, String)]) -> Result<Self, String> {
+        let told = |name: &str| told.iter().find(|(n, _)| *n == name).map(|(_, v)| v.clone());
+        Self::read(|name| told(name).or_else(|| std::env::var(name).ok()))
     }
 
     /// Reads the file again; what it says of discovery now counts for more than the environment.
@@ -102,7 +118,23 @@
             let told = told.ok_or_else(|| format!("{field} is missing, and {name} is not set"))?;
             told.parse::<SocketAddr>().map_err(|_| format!("{name} ({field}) is not an address: {told:?}"))
         };
-        let (listen, discovery) = (address("PROXY_LISTEN", "listen")?, address(DISCOVERY, "discovery")?);
+        let envoy = match (variable(ENVOY), root["envoy"].as_str()) {
+            (Some(path), _) => Some((ENVOY, path)),
+            (None, Some(path)) => Some(("envoy", path.to_owned())),
+            (None, None) => None,
+        };
+        let envoy =
+            envoy.map(|(name, path)| EnvoySource::read(path.as_ref()).map_err(|e| format!("{name}: {e}")));
+        let envoy = envoy.transpose()?;
+        let listen = match (address("PROXY_LISTEN", "listen"), envoy.as_ref().and_then(EnvoySource::listen)) {
+            (Ok(listen), _) | (Err(_), Some(listen)) => listen,
+            (Err(e), None) => return Err(e),
+        };
+        let discovery = match (address(DISCOVERY, "discovery"), &envoy) {
+            (Ok(discovery), _) => Some(discovery),
+            (Err(_), Some(_)) => None,
+            (Err(e), None) => return Err(e),
+        };
         let told = root.get("settings").filter(|s| s.is_object()).ok_or("settings is missing")?;
         let mut pairs = Vec::new();
         flatten("", told, &mut pairs);
@@ -157,9 +189,13 @@
             }
             (None, None) => None,
         };
+        if control.is_some() && envoy.is_some() {
+            return Err(format!("{CONTROL} and {ENVOY} each bring the nodes; give one of the two"));
+        }
         Ok(Config {
             name,
             control,
+            envoy,
             listen,
             discovery,
             seed,
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -61,6 +61,8 @@
             cluster: source.clusters[0].clone(),
             tls,
             message: ANSWER_MOST,
+            identity: None,
+            wake: None,
         };
         let millis = |ms: u64| ms.saturating_mul(1_000_000);
         let mut follow = Follow::new(FollowConfig {
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -1,7 +1,8 @@
 //! The sole owner of the decision module and of all requests, attempts and timers: events of the network go in,
 //! the module's actions come out. Each request gets one final answer.
 
-use super::config::{Config, Names};
+use super::config::Names;
+use super::terms::{Made, Terms};
 use super::upstream::{Ended, Job, Tether, Upstreams};
 use crate::api::*;
 use crate::Balancer;
@@ -25,18 +26,18 @@
 
 /// The one clock: monotonic, from the Unix time at the start, since nodes' start times are Unix times.
 #[derive(Clone, Copy)]
-struct Clock {
+pub struct Clock {
     base: Nanos,
     start: Instant,
 }
 
 impl Clock {
-    fn new() -> Self {
+    pub fn new() -> Self {
         let base = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { base: base.as_nanos() as Nanos, start: Instant::now() }
     }
 
-    fn now(&self) -> Nanos {
+    pub fn now(&self) -> Nanos {
         self.base.saturating_add(self.start.elapsed().as_nanos() as Nanos)
     }
 }
@@ -59,6 +60,8 @@
 pub struct Asked {
     pub request: Request,
     pub job: Job,
+    /// What its cluster and route say beside; `None`: nothing.
+    pub terms: Option<Rc<Terms>>,
 }
 
 struct Attempt {
@@ -66,17 +69,30 @@
     sent: Nanos,
     /// While it is out.
     out: Option<(Rc<Tether>, AbortHandle)>,
+    /// What its route and cluster make of it.
+    made: Made,
 }
 
 struct Pending {
     id: RequestId,
+    /// A repeat rests on a group that remembers it.
+    keyed: bool,
     job: Rc<Job>,
+    terms: Option<Rc<Terms>>,
     deadline: Nanos,
     /// Until the final answer is given.
     answer: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
 }
 
+impl Pending {
+    /// Whether a repeat would still meet the group that remembers its attempts.
+    fn harmless(&self) -> bool {
+        let remembered = |t: &Rc<Terms>| t.remembered(self.attempts.iter().map(|a| (a.sent, &a.made)));
+        !self.keyed || self.terms.as_ref().is_none_or(remembered)
+    }
+}
+
 struct Core {
     balancer: Balancer,
     next: RequestId,
@@ -85,8 +101,10 @@
 
 pub struct Engine {
     clock: Clock,
-    names: Names,
+    names: Rc<Names>,
     cancel: bool,
+    /// By class: a repeat rests on a group that remembers it.
+    keyed: Vec<bool>,
     core: RefCell<Core>,
     upstreams: Rc<Upstreams>,
     watch: mpsc::UnboundedSender<()>,
@@ -96,14 +114,22 @@
 }
 
 impl Engine {
-    /// Starts the module; a message on `watch` asks for the list to be followed.
-    pub fn new(config: Config, upstreams: Rc<Upstreams>, watch: mpsc::UnboundedSender<()>) -> Rc<Self> {
+    /// Starts the module on a list that may be old; a message on `watch` asks for the list to be followed.
+    pub fn new(
+        settings: Settings,
+        names: Rc<Names>,
+        seed: u64,
+        known: &[Member],
+        upstreams: Rc<Upstreams>,
+        watch: mpsc::UnboundedSender<()>,
+    ) -> Rc<Self> {
         let engine = Rc::new_cyclic(|myself| Engine {
             clock: Clock::new(),
-            names: config.names,
-            cancel: config.settings.cancel,
+            names,
+            cancel: settings.cancel,
+            keyed: settings.classes.iter().map(|c| c.effect == Effect::Keyed).collect(),
             core: RefCell::new(Core {
-                balancer: Balancer::new(config.settings, config.seed),
+                balancer: Balancer::new(settings, seed),
                 next: 1,
                 pending: FxHashMap::default(),
             }),
@@ -112,7 +138,7 @@
             myself: myself.clone(),
             pins: RefCell::default(),
         });
-        engine.list(ListKind::Cached, config.known.as_ref().map_or(&[], |known| &known.servers));
+        engine.list(ListKind::Cached, known);
         engine
     }
 
@@ -135,6 +161,11 @@
         pins.find(class, key, self.clock.now()).copied()
     }
 
+    /// How many requests have no answer yet, or have an attempt out.
+    pub fn open(&self) -> usize {
+        self.core.borrow().pending.len()
+    }
+
     /// Whether a request could be served now.
     pub fn can_serve(&self) -> bool {
         self.upstreams.any_ready()
@@ -151,13 +182,17 @@
         if kind != ListKind::Failed {
             self.upstreams.update(kind != ListKind::Delta, &entries);
         }
-        let entries = entries.into_iter().map(|(e, _)| e).collect();
+        self.entries(kind, entries.into_iter().map(|(e, _)| e).collect());
+    }
+
+    /// News of the list for the module alone.
+    pub fn entries(&self, kind: ListKind, entries: Vec<Entry>) {
         self.feed(&mut self.core.borrow_mut(), Event::List { kind, entries });
     }
 
     /// A request has come; its answer comes from the ticket.
     pub fn arrive(&self, asked: Asked) -> Ticket {
-        let Asked { mut request, job } = asked;
+        let Asked { mut request, job, terms } = asked;
         let core = &mut *self.core.borrow_mut();
         let now = self.clock.now();
         let (answer, answered) = oneshot::channel();
@@ -168,7 +203,9 @@
         let margin = margin(patience);
         request.remaining = patience - margin;
         let deadline = now.saturating_add(request.remaining);
-        let pending = Pending { id, job: Rc::new(job), deadline, answer: Some(answer), attempts: Vec::new() };
+        let keyed = request.write && self.keyed.get(request.class as usize).is_some_and(|k| *k);
+        let (job, attempts) = (Rc::new(job), Vec::new());
+        let pending = Pending { id, keyed, job, terms, deadline, answer: Some(answer), attempts };
         core.pending.insert(id, pending);
         self.feed(core, Event::Arrival(request));
         // With half of the margin left a request that the module has left unanswered is failed.
@@ -198,6 +235,7 @@
         if attempt.out.take().is_none() {
             return;
         }
+        attempt.made.ended(ended.status, ended.code);
         if let Some(response) = ended.answer {
             if let Some(answer) = pending.answer.take() {
                 let _ = answer.send(Answer::Served(response));
@@ -234,7 +272,14 @@
             Action::Send { id, server, timeout } => events.extend(self.send(core, id, server, timeout)),
             Action::Cancel { id, attempt } => events.extend(self.call_off(core, id, attempt as usize)),
             Action::Refuse { id, retry_after } => {
-                self.answer(core, id, Answer::Refused(Duration::from_nanos(retry_after)), events);
+                // Danger: a refusal says that to ask again is harmless. Where the group that would have dropped the repeat
+                // is another by now, it is not.
+                let harmless = core.pending.get(&id).is_none_or(Pending::harmless);
+                let answer = match harmless {
+                    true => Answer::Refused(Duration::from_nanos(retry_after)),
+                    false => Answer::Failed,
+                };
+                self.answer(core, id, answer, events);
             }
             Action::Fail { id } => self.answer(core, id, Answer::Failed, events),
             Action::Timer { token, delay } => {
@@ -259,19 +304,33 @@
         let number = pending.attempts.len();
         let left = pending.deadline.saturating_sub(now);
         if pending.answer.is_none() || left == 0 {
-            pending.attempts.push(Attempt { server, sent: now, out: None });
+            pending.attempts.push(Attempt { server, sent: now, out: None, made: Made::unsent() });
             return Some(self.outcome(pending, number, Status::Moot, None));
         }
-        let wait = Duration::from_nanos(if timeout == 0 { left } else { timeout.min(left) });
+        let mut wait = if timeout == 0 { left } else { timeout.min(left) };
+        let mut made = Made::default();
+        if let Some(terms) = &pending.terms {
+            let earlier = pending.attempts.iter().map(|a| (a.sent, &a.made));
+            match terms.allow(earlier, pending.keyed, self.upstreams.grouped(server)) {
+                Some(allowed) => made = allowed,
+                None => {
+                    let made = Made::unsent();
+                    pending.attempts.push(Attempt { server, sent: now, out: None, made });
+                    return Some(self.outcome(pending, number, Status::Moot, None));
+                }
+            }
+            wait = terms.wait(wait);
+        }
+        let (wait, importance) = (Duration::from_nanos(wait), pending.terms.as_ref().map(|t| t.importance));
         let (job, tether) = (pending.job.clone(), Rc::new(Tether::default()));
         let (upstreams, held, myself) = (self.upstreams.clone(), tether.clone(), self.myself.clone());
         let task = tokio::task::spawn_local(async move {
-            let ended = upstreams.attempt(server, &job, wait, &held).await;
+            let ended = upstreams.attempt(server, &job, wait, &held, importance.unwrap_or_default()).await;
             if let Some(engine) = myself.upgrade() {
                 engine.ended(id, number, ended);
             }
         });
-        pending.attempts.push(Attempt { server, sent: now, out: Some((tether, task.abort_handle())) });
+        pending.attempts.push(Attempt { server, sent: now, out: Some((tether, task.abort_handle())), made });
         None
     }
 
@@ -282,6 +341,7 @@
         let (tether, task) = attempt.out.take()?;
         tether.cut();
         task.abort();
+        attempt.made.ended(Status::Cancelled, 0);
         let event = self.outcome(pending, number, Status::Cancelled, None);
         Self::forget(core, id);
         Some(event)
--- /dev/null
+++ b/src/net/envoy/admin.rs
@@ -0,0 +1,236 @@
+//! The admin page, in a form near Envoy's own: `/clusters` with effective weights, `/config_dump`, `/ready`.
+
+use super::driver::Shared;
+use super::{Figures, FiguresAsked};
+use axum::extract::{Query, State};
+use axum::http::header::CONTENT_TYPE;
+use axum::http::StatusCode;
+use axum::response::IntoResponse;
+use axum::routing::get;
+use axum::Router;
+use rushquay_control_service::serve_pages;
+use rushquay_envoy::catalogue::{Kept, Warmth};
+use rushquay_envoy::resource::message_of;
+use rushquay_envoy::text::show;
+use rushquay_pools::{Health, Standing};
+use rushquay_xds::Kind;
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+
+/// Connections at once.
+pub const CONNECTIONS: usize = 8;
+/// The proxy's thread is waited for so long.
+const FIGURES: Duration = Duration::from_secs(2);
+
+enum Page {
+    Clusters,
+    Dump,
+    Ready,
+}
+
+type Asked = (Page, oneshot::Sender<(bool, Value)>);
+
+/// Serves for good. The catalogue is not for other threads, so pages are made by a task that shares its thread.
+pub async fn serve(listener: TcpListener, shared: Rc<Shared>, figures: FiguresAsked) {
+    let (ask, mut asked) = mpsc::channel::<Asked>(CONNECTIONS);
+    tokio::task::spawn_local(async move {
+        while let Some((page, answer)) = asked.recv().await {
+            let made = match page {
+                Page::Clusters => (true, clusters(&shared, &passed(&figures).await)),
+                Page::Dump => (true, dump(&shared)),
+                Page::Ready => ready(&shared),
+            };
+            let _ = answer.send(made);
+        }
+    });
+    let pages = Router::new()
+        .route("/clusters", get(clusters_page))
+        .route("/config_dump", get(|State(ask)| async move { json_page(made(&ask, Page::Dump).await) }))
+        .route("/ready", get(|State(ask)| async move { json_page(made(&ask, Page::Ready).await) }))
+        .fallback(|| async {
+            (StatusCode::NOT_FOUND, "/clusters, /clusters?format=json, /config_dump or /ready\n")
+        })
+        .with_state(ask);
+    serve_pages(listener, pages, CONNECTIONS).await;
+}
+
+async fn made(ask: &mpsc::Sender<Asked>, page: Page) -> (bool, Value) {
+    let (answer, answered) = oneshot::channel();
+    match ask.send((page, answer)).await {
+        Ok(()) => answered.await.unwrap_or((false, Value::Null)),
+        Err(_) => (false, Value::Null),
+    }
+}
+
+fn json_page((good, value): (bool, Value)) -> impl IntoResponse {
+    let status = if good { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    (status, [(CONTENT_TYPE, "application/json")], format!("{value:#}\n"))
+}
+
+async fn clusters_page(
+    State(ask): State<mpsc::Sender<Asked>>,
+    Query(query): Query<HashMap<String, String>>,
+) -> impl IntoResponse {
+    let (good, value) = made(&ask, Page::Clusters).await;
+    let status = if good { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    let (kind, text) = match query.get("format").map(String::as_str) {
+        Some("json") => ("application/json", format!("{value:#}\n")),
+        _ => ("text/plain", lines(&value)),
+    };
+    (status, [(CONTENT_TYPE, kind)], text)
+}
+
+/// Envoy's form: `cluster::address::name::value`, a line each.
+fn lines(value: &Value) -> String {
+    let mut text = String::new();
+    let list = |v: &Value, name: &str| v[name].as_array().cloned().unwrap_or_default();
+    let plain = |v: &Value| v.as_str().map_or_else(|| v.to_string(), str::to_owned);
+    for cluster in list(value, "cluster_statuses") {
+        let name = plain(&cluster["name"]);
+        let mut line =
+            |at: &str, name_: &str, v: &Value| text += &format!("{name}::{at}{name_}::{}\n", plain(v));
+        for (field, v) in cluster.as_object().into_iter().flatten() {
+            if !matches!(field.as_str(), "name" | "host_statuses" | "priorities") {
+                line("", field, v);
+            }
+        }
+        for level in list(&cluster, "priorities") {
+            let at = format!("priority_{}::", level["priority"]);
+            for (field, v) in level.as_object().into_iter().flatten().filter(|(f, _)| *f != "priority") {
+                line(&at, field, v);
+            }
+        }
+        for host in list(&cluster, "host_statuses") {
+            let at = format!("{}::", plain(&host["address"]));
+            for (field, v) in host.as_object().into_iter().flatten().filter(|(f, _)| *f != "address") {
+                line(&at, field, v);
+            }
+        }
+    }
+    text
+}
+
+async fn passed(figures: &FiguresAsked) -> Figures {
+    let (answer, answered) = oneshot::channel();
+    let asked = async {
+        figures.send(answer).await.ok()?;
+        answered.await.ok()
+    };
+    tokio::time::timeout(FIGURES, asked).await.ok().flatten().unwrap_or_default()
+}
+
+fn health(health: Health) -> &'static str {
+    match health {
+        Health::Healthy => "HEALTHY",
+        Health::Degraded => "DEGRADED",
+        Health::Unhealthy => "UNHEALTHY",
+        Health::Draining => "DRAINING",
+    }
+}
+
+fn standing(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Serves => "serves",
+        Standing::StandsBy => "stands by",
+        Standing::Drains => "gets nothing new",
+    }
+}
+
+fn clusters(shared: &Shared, (clusters, nodes): &Figures) -> Value {
+    let nodes: HashMap<_, _> = nodes.iter().map(|n| ((&*n.cluster, &*n.id), n)).collect();
+    let clusters: HashMap<_, _> = clusters.iter().map(|c| (&*c.name, c)).collect();
+    let catalogue = shared.catalogue.borrow();
+    let statuses = catalogue.shown().map(|(spec, warmth, pool)| {
+        let hosts = pool.shown().into_iter().map(|host| {
+            let passed = nodes.get(&(&*spec.name, &*host.node.id));
+            json!({
+                "address": host.node.addr.to_string(), "id": &*host.node.id, "zone": &*host.node.zone,
+                "region": &*host.locality.0, "sub_zone": &*host.locality.1, "priority": host.priority,
+                "weight": host.weight, "effective_weight": host.part, "health_flags": health(host.health),
+                "standing": standing(host.node.standing),
+                "cx_active": passed.map_or(0, |p| p.connections), "rq_active": passed.map_or(0, |p| p.out),
+                "rq_total": passed.map_or(0, |p| p.attempts), "rq_error": passed.map_or(0, |p| p.failed),
+            })
+        });
+        let levels = pool.loads().enumerate().map(|(p, (level, load))| {
+            json!({
+                "priority": p, "hosts": level.hosts, "healthy": level.healthy, "degraded": level.degraded,
+                "load_healthy_percent": load.healthy, "load_degraded_percent": load.degraded, "panic": load.panic,
+            })
+        });
+        let (hosts, levels): (Vec<Value>, Vec<Value>) = (hosts.collect(), levels.collect());
+        let split: Vec<Value> =
+            catalogue.split(&spec.name).iter().map(|(n, p)| json!({"cluster": &**n, "percent": p})).collect();
+        let passed = clusters.get(&*spec.name);
+        let trips = passed.map(|p| p.trips).unwrap_or_default();
+        json!({
+            "name": &*spec.name, "warming": !matches!(warmth, Warmth::Active), "dedup_group": &*spec.group,
+            "origin": spec.origin.as_deref(), "refused_part": pool.effective().refused,
+            "panic_threshold": spec.rules.sharing.panic, "priorities": levels, "split": split,
+            "cx_active": passed.map_or(0, |p| p.connections), "rq_open": passed.map_or(0, |p| p.open),
+            "rq_total": passed.map_or(0, |p| p.requests), "rq_shed": passed.map_or(0, |p| p.shed),
+            "rq_overflow": trips[0], "rq_retry_overflow": trips[1], "cx_pending_overflow": trips[2],
+            "host_statuses": hosts,
+        })
+    });
+    json!({"cluster_statuses": statuses.collect::<Vec<_>>()})
+}
+
+fn ready(shared: &Shared) -> (bool, Value) {
+    let catalogue = shared.catalogue.borrow();
+    let missing: Vec<String> = catalogue.missing().iter().map(|n| n.to_string()).collect();
+    let ready = catalogue.is_ready();
+    (ready, json!({"routes": ready, "clusters_missing": missing}))
+}
+
+/// Near `envoy.admin.v3.ConfigDump`. Fields that are ignored are left out.
+fn dump(shared: &Shared) -> Value {
+    let catalogue = shared.catalogue.borrow();
+    let of = |kind: Kind, fixed: bool, field: &str| -> Vec<Value> {
+        let one = |((_, name), kept): (&(Kind, String), &Kept)| {
+            let mut body = show(message_of(kind), &kept.encoded);
+            if let Value::Object(fields) = &mut body {
+                fields.insert("@type".into(), json!(kind.type_url()));
+            }
+            json!({"name": name, "version_info": kept.version, "last_updated_ns": kept.at, field: body})
+        };
+        catalogue.kept().iter().filter(|((k, _), v)| *k == kind && v.fixed == fixed).map(one).collect()
+    };
+    let section = |name: &str, fields: [(&str, Vec<Value>); 2], kind: Kind| {
+        let mut told = json!({"@type": format!("type.googleapis.com/envoy.admin.v3.{name}")});
+        for (field, list) in fields {
+            told[field] = list.into();
+        }
+        if let Some((times, why)) = catalogue.refusals().get(&kind) {
+            told["error_state"] = json!({"times": times, "details": why});
+        }
+        told
+    };
+    let (table, waiting) = catalogue.tables();
+    json!({
+        "configs": [
+            section("ClustersConfigDump", [
+                ("static_clusters", of(Kind::Cluster, true, "cluster")),
+                ("dynamic_active_clusters", of(Kind::Cluster, false, "cluster")),
+            ], Kind::Cluster),
+            section("EndpointsConfigDump", [
+                ("static_endpoint_configs", Vec::new()),
+                ("dynamic_endpoint_configs", of(Kind::Endpoints, false, "endpoint_config")),
+            ], Kind::Endpoints),
+            section("ListenersConfigDump", [
+                ("static_listeners", of(Kind::Listener, true, "listener")),
+                ("dynamic_listeners", of(Kind::Listener, false, "listener")),
+            ], Kind::Listener),
+            section("RoutesConfigDump", [
+                ("static_route_configs", Vec::new()),
+                ("dynamic_route_configs", of(Kind::Route, false, "route_config")),
+            ], Kind::Route),
+        ],
+        "routes_that_hold": table.map(|t| t.name()),
+        "routes_that_wait": waiting.map(|t| t.name()),
+    })
+}
--- /dev/null
+++ b/src/net/envoy/source.rs
@@ -0,0 +1,100 @@
+//! The settings that have clusters, endpoints and routes come in Envoy's form, checked.
+
+use rushquay_envoy::{bootstrap, Bootstrap};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+/// The settings: a TOML file that `PROXY_ENVOY` names.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    /// Envoy's bootstrap file, YAML or JSON; from this file's folder where the path is relative.
+    bootstrap: PathBuf,
+    /// The name of the listener that is served; needed where there are several.
+    listener: Option<String>,
+    /// The first wait before connecting to a control service again, in milliseconds; it doubles.
+    #[serde(default = "backoff")]
+    backoff_ms: u64,
+    /// The longest wait, in milliseconds.
+    #[serde(default = "backoff_most")]
+    backoff_most_ms: u64,
+    /// Most resources of a kind.
+    #[serde(default = "resources_most")]
+    resources_most: usize,
+    /// An answer is at most this long.
+    #[serde(default = "answer_mb")]
+    answer_mb: usize,
+}
+
+fn backoff() -> u64 {
+    100
+}
+fn backoff_most() -> u64 {
+    5000
+}
+fn resources_most() -> usize {
+    100_000
+}
+fn answer_mb() -> usize {
+    16
+}
+
+/// Where clusters, endpoints and routes come from.
+#[derive(Clone, Debug)]
+pub struct EnvoySource {
+    /// The bootstrap file, read.
+    pub bootstrap: Arc<Bootstrap>,
+    /// The name of the listener that is served.
+    pub listener: Option<String>,
+    /// Waits before connecting again, in milliseconds: the first, and the longest.
+    pub backoff_ms: (u64, u64),
+    /// Most resources of a kind.
+    pub resources_most: usize,
+    /// An answer is at most this long, in bytes.
+    pub answer_most: usize,
+}
+
+impl EnvoySource {
+    /// Reads the settings and the bootstrap file that they name.
+    ///
+    /// # Errors
+    /// What is wrong, with the file and the field.
+    pub fn read(path: &Path) -> Result<Self, String> {
+        let at = |e: String| format!("{}: {e}", path.display());
+        let text = std::fs::read_to_string(path).map_err(|e| at(e.to_string()))?;
+        let file: File = toml::from_str(&text).map_err(|e| at(e.to_string()))?;
+        let need = |holds: bool, what: &str| if holds { Ok(()) } else { Err(at(what.to_owned())) };
+        need((1..=60_000).contains(&file.backoff_ms), "backoff_ms: expected milliseconds from 1 to 60000")?;
+        let most = file.backoff_ms..=600_000;
+        need(
+            most.contains(&file.backoff_most_ms),
+            "backoff_most_ms: expected backoff_ms at least, 600000 at most",
+        )?;
+        need((1..=1_000_000).contains(&file.resources_most), "resources_most: expected 1 to 1000000")?;
+        need((1..=256).contains(&file.answer_mb), "answer_mb: expected 1 to 256")?;
+        let named = path.parent().unwrap_or(Path::new("")).join(&file.bootstrap);
+        Ok(EnvoySource {
+            bootstrap: Arc::new(read_bootstrap(&named)?),
+            listener: file.listener,
+            backoff_ms: (file.backoff_ms, file.backoff_most_ms),
+            resources_most: file.resources_most,
+            answer_most: file.answer_mb << 20,
+        })
+    }
+
+    /// Where the listener that stands in the file would listen.
+    pub fn listen(&self) -> Option<SocketAddr> {
+        self.bootstrap.listeners.first().and_then(|(l, _)| l.address)
+    }
+}
+
+/// Reads a bootstrap file.
+///
+/// # Errors
+/// What is wrong, with the file and the field.
+pub fn read_bootstrap(path: &Path) -> Result<Bootstrap, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    bootstrap(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
--- /dev/null
+++ b/src/net/front.rs
@@ -0,0 +1,41 @@
+//! What stands behind the clients: one decision module on the proxy's own list, or the clusters of Envoy's form.
+
+use super::engine::Engine;
+use super::pools::Pools;
+use super::upstream::Upstreams;
+use std::rc::Rc;
+
+/// What answers requests.
+#[derive(Clone)]
+pub enum Front {
+    /// All of them go to one module.
+    One { engine: Rc<Engine>, upstreams: Rc<Upstreams> },
+    /// Routes say where each goes.
+    Pools(Rc<Pools>),
+}
+
+impl Front {
+    /// Whether a request could be served now.
+    pub fn can_serve(&self) -> bool {
+        match self {
+            Front::One { engine, .. } => engine.can_serve(),
+            Front::Pools(pools) => pools.can_serve(),
+        }
+    }
+
+    /// Closes the connection to a node that has been idle for longest; false if there is none.
+    pub fn yield_idle(&self) -> bool {
+        match self {
+            Front::One { upstreams, .. } => upstreams.yield_idle(),
+            Front::Pools(pools) => pools.yield_idle(),
+        }
+    }
+
+    /// Closes idle connections that have ended or stood too long.
+    pub fn sweep(&self) {
+        match self {
+            Front::One { upstreams, .. } => upstreams.sweep(),
+            Front::Pools(pools) => pools.sweep(),
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,12 +4,17 @@
 pub mod control;
 mod discovery;
 mod engine;
+pub mod envoy;
+mod front;
 mod gate;
 pub mod local;
 mod nodes;
+mod pools;
+mod routed;
 pub mod server;
 mod socket;
 pub mod subscription;
+mod terms;
 mod upstream;
 
 use http_body_util::Full;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -4,8 +4,12 @@
 use super::control;
 use super::discovery::{self, Discovery};
 use super::engine::{Answer, Asked, Engine, Ticket};
+use super::envoy;
+use super::front::Front;
 use super::gate::{Gate, Seen};
 use super::nodes::NodeList;
+use super::pools::Pools;
+use super::routed::{Forward, Routed};
 use super::socket::{Descriptors, Permit, Socket};
 use super::upstream::{Job, Upstreams, TIME_LEFT};
 use super::{Body, BODY_MOST, BUFFER_MOST};
@@ -13,6 +17,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Version};
@@ -133,8 +138,7 @@
 }
 
 struct Server {
-    engine: Rc<Engine>,
-    upstreams: Rc<Upstreams>,
+    front: Front,
     descriptors: Rc<Descriptors>,
     /// Danger: clients that hold every descriptor could be answered by nobody. Of two they get one.
     clients_most: usize,
@@ -166,7 +170,7 @@
 pub async fn run(
     config: Config,
     stop: impl Future<Output = ()>,
-    mut hangup: Signal,
+    hangup: Signal,
     told: impl FnOnce(SocketAddr),
 ) -> Result<(), String> {
     let listen = config.listen;
@@ -177,32 +181,21 @@
     // Danger: each connection may come to hold a body and what is read ahead of it. So many are taken as there is
     // room for, even if all of them do.
     let room = config.memory.saturating_sub(OWN_MEMORY) / (BODY_MOST + 2 * BUFFER_MOST);
-    let own = OWN_DESCRIPTORS + config.control.as_ref().map_or(0, |_| control::DESCRIPTORS);
+    let own = OWN_DESCRIPTORS
+        + config.control.as_ref().map_or(0, |_| control::DESCRIPTORS)
+        + config.envoy.as_ref().map_or(0, |_| envoy::DESCRIPTORS);
     let descriptors = Descriptors::new(config.sockets.saturating_sub(own).min(room).max(8));
     let clients_most = descriptors.free() / 2;
     let settings = config.settings.clone();
-    let upstreams = Upstreams::new(descriptors.clone(), config.connect_timeout, settings.conn_idle);
-    let (watch, asked) = mpsc::unbounded_channel();
-    let (addr, version) = (config.discovery, config.known.as_ref().map(|known| known.version));
-    let discovery = Discovery::new(addr, version, settings.must_ask_in);
-    let (subscription, known) = (control::Subscription::of(&config), config.known.clone());
-    let engine = Engine::new(config, upstreams.clone(), watch);
-    let nodes = NodeList::new(engine.clone(), subscription.as_ref().map(|s| s.limits()), known.as_ref());
-    let (moves, moved) = mpsc::unbounded_channel();
-    tokio::task::spawn_local(discovery.follow(nodes.clone(), asked, moved));
-    if let Some(subscription) = subscription {
-        tokio::task::spawn_local(subscription.follow(nodes));
-    }
-    tokio::task::spawn_local(async move {
-        while hangup.recv().await.is_some() {
-            match Config::again() {
-                // The receiver is gone only when the proxy ends.
-                Ok(config) => drop(moves.send(config.discovery)),
-                Err(e) => super::log(format_args!("the settings stay as they are: {e}")),
-            }
+    let front = match config.envoy.clone() {
+        Some(source) => {
+            let pools = Pools::new(settings.clone(), config.names, config.seed, descriptors.clone());
+            envoy::follow(source, pools.clone(), config.name, config.seed)?;
+            Front::Pools(pools)
         }
-    });
-    let sweeper = upstreams.clone();
+        None => one(config, descriptors.clone(), hangup)?,
+    };
+    let sweeper = front.clone();
     tokio::task::spawn_local(async move {
         loop {
             sleep(Duration::from_secs(1)).await;
@@ -210,8 +203,7 @@
         }
     });
     let server = Rc::new(Server {
-        engine,
-        upstreams,
+        front,
         descriptors,
         clients_most,
         settings,
@@ -237,6 +229,36 @@
     Ok(())
 }
 
+/// One decision module on the list of the proxy's own discovery, with a control service's where one is subscribed to.
+fn one(config: Config, descriptors: Rc<Descriptors>, mut hangup: Signal) -> Result<Front, String> {
+    let discovery = config.discovery.ok_or("discovery is missing, and PROXY_DISCOVERY is not set")?;
+    let settings = config.settings.clone();
+    let upstreams = Upstreams::new(descriptors, config.connect_timeout, settings.conn_idle);
+    let (watch, asked) = mpsc::unbounded_channel();
+    let (subscription, known) = (control::Subscription::of(&config), config.known);
+    let discovery =
+        Discovery::new(discovery, known.as_ref().map(|known| known.version), settings.must_ask_in);
+    let listed = known.as_ref().map_or(&[][..], |known| &known.servers);
+    let names = Rc::new(config.names);
+    let engine = Engine::new(settings, names, config.seed, listed, upstreams.clone(), watch);
+    let nodes = NodeList::new(engine.clone(), subscription.as_ref().map(|s| s.limits()), known.as_ref());
+    let (moves, moved) = mpsc::unbounded_channel();
+    tokio::task::spawn_local(discovery.follow(nodes.clone(), asked, moved));
+    if let Some(subscription) = subscription {
+        tokio::task::spawn_local(subscription.follow(nodes));
+    }
+    tokio::task::spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            match Config::again() {
+                // The receiver is gone only when the proxy ends.
+                Ok(config) => drop(config.discovery.map(|discovery| moves.send(discovery))),
+                Err(e) => super::log(format_args!("the settings stay as they are: {e}")),
+            }
+        }
+    });
+    Ok(Front::One { engine, upstreams })
+}
+
 impl Server {
     async fn accept_all(self: &Rc<Self>, listener: &TcpListener) -> Infallible {
         loop {
@@ -252,7 +274,7 @@
             Err(e) => {
                 // Danger: without descriptors accept fails at once, and again, and again.
                 super::log(format_args!("accept: {e}"));
-                self.upstreams.yield_idle();
+                self.front.yield_idle();
                 sleep(Duration::from_millis(10)).await;
                 return;
             }
@@ -264,7 +286,7 @@
                 }
             } else if let Some(permit) = self.descriptors.take() {
                 break permit;
-            } else if !self.upstreams.yield_idle() && !self.one_leaves() {
+            } else if !self.front.yield_idle() && !self.one_leaves() {
                 self.yield_client(false);
             }
             // Danger: who was sent away may have asked just then and stays until it has its answer; the next one
@@ -383,11 +405,25 @@
 
     async fn respond(&self, request: Request<Incoming>, socket: &Rc<Socket>) -> Response<Body> {
         if request.uri().path() == "/_health" {
-            let ready = !self.draining.get() && self.engine.can_serve();
+            let ready = !self.draining.get() && self.front.can_serve();
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         let may_ask = request.version() == Version::HTTP_11;
-        let asked = match self.asked(request).await {
+        let (mut head, body) = request.into_parts();
+        // What is held here lives until the answer has been given, the cluster among it.
+        let forward = match &self.front {
+            Front::One { .. } => None,
+            Front::Pools(pools) => match pools.route(&mut head, fastrand::f64) {
+                Routed::Answered(answer) => return answer,
+                Routed::Forward(forward) => Some(forward),
+            },
+        };
+        let engine = match (&self.front, &forward) {
+            (_, Some(forward)) => &forward.cluster.engine,
+            (Front::One { engine, .. }, None) => engine,
+            (Front::Pools(_), None) => return plain(StatusCode::NOT_FOUND, "no such route"),
+        };
+        let asked = match self.asked(engine, head, body, forward.as_deref()).await {
             Ok(asked) => asked,
             Err((status, why)) => {
                 let mut response = bad(status, why);
@@ -404,21 +440,31 @@
             return bad(StatusCode::CONFLICT, "a request with this X-Correlation-Id is open");
         }
         let _open = OpenId { server: self, id };
-        let mut ticket: Ticket = self.engine.arrive(asked);
-        tokio::select! {
+        let mut ticket: Ticket = engine.arrive(asked);
+        let mut response = tokio::select! {
             biased;
             answer = ticket.answer() => respond_with(answer),
             // Nobody is left to read this.
             () = socket.hung_up(may_ask) => plain(StatusCode::BAD_GATEWAY, "the client has gone"),
+        };
+        if let Some(forward) = &forward {
+            forward.dress(&mut response);
         }
+        response
     }
 
     /// Reads a request into the module's terms, or says what is wrong with it.
-    async fn asked(&self, request: Request<Incoming>) -> Result<Asked, (StatusCode, &'static str)> {
-        let (head, body) = request.into_parts();
+    async fn asked(
+        &self,
+        engine: &Engine,
+        head: Parts,
+        body: Incoming,
+        forward: Option<&Forward>,
+    ) -> Result<Asked, (StatusCode, &'static str)> {
         let mut parts = head.uri.path().strip_prefix('/').unwrap_or("").split('/');
-        let name = parts.next().unwrap_or("");
-        let class = self.engine.names().classes.iter().position(|c| c == name);
+        let first = parts.next().unwrap_or("");
+        let name = forward.and_then(|f| f.class.as_deref()).unwrap_or(first);
+        let class = engine.names().classes.iter().position(|c| c == name);
         let class = class.ok_or((StatusCode::NOT_FOUND, "no such class"))?;
         let write = match head.method {
             Method::GET => false,
@@ -438,6 +484,7 @@
                 time_left(told).ok_or((StatusCode::BAD_REQUEST, "bad X-Time-Left"))?.min(settings.deadline)
             }
         };
+        let patience = forward.and_then(|f| f.timeout).map_or(patience, |most| patience.min(most));
         let id = only(&CORRELATION_ID, "more than one X-Correlation-Id")?;
         if !id.is_some_and(well_formed) {
             return Err((StatusCode::BAD_REQUEST, "no X-Correlation-Id, or a bad one"));
@@ -459,14 +506,14 @@
             false => (StatusCode::BAD_REQUEST, "the body is broken"),
         })?;
         let tenant = head.headers.get(ACCOUNT).and_then(|a| a.to_str().ok());
-        let tenant = tenant.and_then(|a| self.engine.names().tenants.iter().position(|t| t == a));
+        let tenant = tenant.and_then(|a| engine.names().tenants.iter().position(|t| t == a));
         let key_text = parts.next_back().filter(|k| !k.is_empty());
         let request = api::Request {
             id: 0,
             class: class as u32,
             tenant: tenant.map(|t| t as u32),
             key: key_text.map(key),
-            pinned: key_text.and_then(|k| self.engine.pinned(name, k)),
+            pinned: key_text.and_then(|k| engine.pinned(name, k)),
             remaining: patience,
             write,
             retry: head.headers.get(REPEAT).is_some_and(|v| v == "1"),
@@ -477,7 +524,8 @@
         strip(&mut headers);
         // The body is passed on with the length that it has.
         headers.remove(header::CONTENT_LENGTH);
-        Ok(Asked { request, job: Job { method: head.method, uri, headers, body } })
+        let terms = forward.map(|f| f.terms.clone());
+        Ok(Asked { request, job: Job { method: head.method, uri, headers, body }, terms })
     }
 }
 
@@ -495,7 +543,7 @@
 }
 
 /// A key as a number: hex as on the simulator's wire, anything else hashed.
-fn key(text: &str) -> u64 {
+pub(super) fn key(text: &str) -> u64 {
     let hex = (text.len() == 16).then(|| u64::from_str_radix(text, 16).ok());
     hex.flatten().unwrap_or_else(|| api::server_id(text))
 }
@@ -514,7 +562,7 @@
     }
 }
 
-fn respond_with(answer: Answer) -> Response<Body> {
+pub(super) fn respond_with(answer: Answer) -> Response<Body> {
     match answer {
         Answer::Served(response) => {
             let (mut head, body) = response.into_parts();
@@ -550,7 +598,7 @@
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Body> {
+pub(super) fn plain(status: StatusCode, text: &'static str) -> Response<Body> {
     let mut response = Response::new(Body::new(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -9,6 +9,7 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
+use rushquay_pools::{Breakers, Importance, Trip};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -36,6 +37,8 @@
 /// What came of an attempt.
 pub struct Ended {
     pub status: Status,
+    /// The status of its answer, as it came; 0: none did.
+    pub code: u16,
     pub hit: Option<bool>,
     /// The answer, where it was served.
     pub answer: Option<Response<Bytes>>,
@@ -43,7 +46,7 @@
 
 impl From<Status> for Ended {
     fn from(status: Status) -> Self {
-        Ended { status, hit: None, answer: None }
+        Ended { status, code: 0, hit: None, answer: None }
     }
 }
 
@@ -74,6 +77,23 @@
     sender: SendRequest<Body>,
     socket: Rc<Socket>,
     driver: AbortHandle,
+    _counted: [Counted; 2],
+}
+
+/// One more of something that is counted, until it is dropped.
+struct Counted(Rc<Cell<u32>>);
+
+impl Counted {
+    fn new(of: &Rc<Cell<u32>>) -> Self {
+        of.set(of.get() + 1);
+        Counted(of.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl Connection {
@@ -104,27 +124,70 @@
     /// Counts what makes older connections useless: a restart, a new address, a drain.
     epoch: u64,
     idle: Vec<Idle>,
+    /// Since when it belongs to its group; 0: since it came.
+    grouped: Nanos,
+    figures: Rc<Figures>,
+}
+
+/// What passed at a node.
+#[derive(Default)]
+pub struct Figures {
+    /// Connections that are open or coming up.
+    pub connections: Rc<Cell<u32>>,
+    /// Attempts that are out.
+    pub out: Rc<Cell<u32>>,
+    /// Attempts since it came.
+    pub attempts: Cell<u64>,
+    /// Of these, those that brought no answer which could be used, misses not among them.
+    pub failed: Cell<u64>,
+}
+
+/// What a cluster says of its connections.
+pub struct Bounds {
+    /// How long one may take to come up.
+    pub connect_timeout: Duration,
+    /// Idle ones close after this time.
+    pub idle_most: Duration,
+    /// Most to one node.
+    pub node_most: u32,
+    /// Limits on those that are open and that come up; `None`: the descriptors are the limit.
+    pub breakers: Option<Breakers>,
 }
 
 /// All cache nodes that the list names.
 pub struct Upstreams {
     nodes: RefCell<FxHashMap<ServerId, Node>>,
     descriptors: Rc<Descriptors>,
-    connect_timeout: Duration,
-    idle_most: Duration,
+    bounds: RefCell<Bounds>,
+    open: Rc<Cell<u32>>,
     epochs: Cell<u64>,
 }
 
+/// For how long an idle connection is kept where its node closes it after `limit` at the latest; 0: nobody knows.
+/// Danger: a request written to a connection that its node is just closing ends as a reset, and may have run. The node
+/// counts from its own last byte, so leave it a good part of the time.
+pub fn idle_most(limit: Nanos) -> Duration {
+    match limit {
+        0 => Duration::from_secs(5),
+        limit => Duration::from_nanos(limit / 4 * 3),
+    }
+}
+
 impl Upstreams {
     pub fn new(descriptors: Rc<Descriptors>, connect_timeout: Duration, conn_idle: Nanos) -> Rc<Self> {
-        // Danger: a request written to a connection that its node is just closing ends as a reset, and may
-        // have run. The node counts from its own last byte, so leave it a good part of the time.
-        let idle_most = match conn_idle {
-            0 => Duration::from_secs(5),
-            limit => Duration::from_nanos(limit / 4 * 3),
-        };
-        let nodes = RefCell::default();
-        Rc::new(Upstreams { nodes, descriptors, connect_timeout, idle_most, epochs: Cell::new(0) })
+        let idle_most = idle_most(conn_idle);
+        Self::bounded(descriptors, Bounds { connect_timeout, idle_most, node_most: u32::MAX, breakers: None })
+    }
+
+    /// With bounds of its own.
+    pub fn bounded(descriptors: Rc<Descriptors>, bounds: Bounds) -> Rc<Self> {
+        let (nodes, open, epochs) = Default::default();
+        Rc::new(Upstreams { nodes, descriptors, bounds: RefCell::new(bounds), open, epochs })
+    }
+
+    /// Other bounds for connections from now on.
+    pub fn bound(&self, bounds: Bounds) {
+        *self.bounds.borrow_mut() = bounds;
     }
 
     /// Takes news of the list; `whole` when nodes that it does not name are gone.
@@ -140,20 +203,56 @@
                 continue;
             }
             let ready = entry.state == State::Ready;
-            let old = nodes.get(&entry.server);
-            if old.is_some_and(|n| n.addr == *addr && n.started == entry.started && n.ready == ready) {
+            let old = nodes.get_mut(&entry.server);
+            if old.as_ref().is_some_and(|n| n.addr == *addr && n.started == entry.started && n.ready == ready)
+            {
                 continue;
             }
             self.epochs.set(self.epochs.get() + 1);
             let epoch = self.epochs.get();
+            let (figures, grouped) = old.map(|n| (n.figures.clone(), n.grouped)).unwrap_or_default();
             // The idle connections of the old one close here.
-            nodes.insert(
-                entry.server,
-                Node { addr: *addr, started: entry.started, ready, epoch, idle: Vec::new() },
-            );
+            let (addr, started, idle) = (*addr, entry.started, Vec::new());
+            nodes.insert(entry.server, Node { addr, started, ready, epoch, idle, grouped, figures });
+        }
+    }
+
+    /// A node came over from another group at this time.
+    pub fn regroup(&self, server: ServerId, since: Nanos) {
+        if let Some(node) = self.nodes.borrow_mut().get_mut(&server) {
+            node.grouped = since;
+        }
+    }
+
+    /// Since when a node belongs to its group; 0: since it came.
+    pub fn grouped(&self, server: ServerId) -> Nanos {
+        self.nodes.borrow().get(&server).map_or(0, |n| n.grouped)
+    }
+
+    /// No connection that is open now is used for another request.
+    pub fn renew(&self) {
+        for node in self.nodes.borrow_mut().values_mut() {
+            self.epochs.set(self.epochs.get() + 1);
+            node.epoch = self.epochs.get();
+            node.idle.clear();
         }
     }
 
+    /// What passed at a node.
+    pub fn figures(&self, server: ServerId) -> Option<Rc<Figures>> {
+        self.nodes.borrow().get(&server).map(|n| n.figures.clone())
+    }
+
+    /// How many connections are open or come up.
+    pub fn connections(&self) -> u32 {
+        self.open.get()
+    }
+
+    /// Since when the connection has been idle that has been for longest.
+    pub fn longest_idle(&self) -> Option<Instant> {
+        self.nodes.borrow().values().filter_map(|n| n.idle.first()).map(|i| i.since).min()
+    }
+
     /// Whether any node takes work.
     pub fn any_ready(&self) -> bool {
         self.nodes.borrow().values().any(|n| n.ready && n.addr.is_some())
@@ -168,7 +267,8 @@
 
     /// Closes idle connections that have ended or stood too long.
     pub fn sweep(&self) {
-        let keep = |i: &Idle| i.since.elapsed() < self.idle_most && !i.connection.sender.is_closed();
+        let most = self.bounds.borrow().idle_most;
+        let keep = |i: &Idle| i.since.elapsed() < most && !i.connection.sender.is_closed();
         self.nodes.borrow_mut().values_mut().for_each(|n| n.idle.retain(keep));
     }
 
@@ -180,9 +280,35 @@
     }
 
     /// One attempt: at most `wait` long.
-    pub async fn attempt(&self, server: ServerId, job: &Job, wait: Duration, tether: &Tether) -> Ended {
+    pub async fn attempt(
+        &self,
+        server: ServerId,
+        job: &Job,
+        wait: Duration,
+        tether: &Tether,
+        importance: Importance,
+    ) -> Ended {
+        let Some(figures) = self.figures(server) else { return Status::Moot.into() };
+        let _out = Counted::new(&figures.out);
+        let ended = self.timed(server, job, wait, tether, importance).await;
+        if ended.status != Status::Moot {
+            figures.attempts.set(figures.attempts.get() + 1);
+            let served = matches!(ended.status, Status::Ok | Status::Miss);
+            figures.failed.set(figures.failed.get() + u64::from(!served));
+        }
+        ended
+    }
+
+    async fn timed(
+        &self,
+        server: ServerId,
+        job: &Job,
+        wait: Duration,
+        tether: &Tether,
+        importance: Importance,
+    ) -> Ended {
         let due = Instant::now() + wait;
-        match timeout_at(due, self.exchange(server, job, due, tether)).await {
+        match timeout_at(due, self.exchange(server, job, due, tether, importance)).await {
             Ok(ended) => ended,
             Err(_) => {
                 let written = tether.socket.borrow().as_ref().is_some_and(|s| s.whole());
@@ -192,12 +318,19 @@
         }
     }
 
-    async fn exchange(&self, server: ServerId, job: &Job, due: Instant, tether: &Tether) -> Ended {
+    async fn exchange(
+        &self,
+        server: ServerId,
+        job: &Job,
+        due: Instant,
+        tether: &Tether,
+        importance: Importance,
+    ) -> Ended {
         loop {
             let Some((addr, epoch)) = self.open_to(server) else { return Status::Moot.into() };
             let (mut connection, reused) = match self.newest(server) {
                 Some(connection) => (connection, true),
-                None => match self.connect(addr).await {
+                None => match self.connect(server, addr, importance).await {
                     Ok(connection) => (connection, false),
                     Err(status) => return status.into(),
                 },
@@ -244,8 +377,9 @@
     fn newest(&self, server: ServerId) -> Option<Connection> {
         let mut nodes = self.nodes.borrow_mut();
         let idle = &mut nodes.get_mut(&server)?.idle;
+        let most = self.bounds.borrow().idle_most;
         while let Some(i) = idle.pop() {
-            if i.since.elapsed() < self.idle_most && i.connection.clean() {
+            if i.since.elapsed() < most && i.connection.clean() {
                 return Some(i.connection);
             }
         }
@@ -262,7 +396,33 @@
     }
 
     /// A new connection, or what to tell of its lack.
-    async fn connect(&self, addr: SocketAddr) -> Result<Connection, Status> {
+    async fn connect(
+        &self,
+        server: ServerId,
+        addr: SocketAddr,
+        importance: Importance,
+    ) -> Result<Connection, Status> {
+        let figures = self.figures(server).ok_or(Status::Moot)?;
+        let (timeout, node_most, breakers) = {
+            let bounds = self.bounds.borrow();
+            (bounds.connect_timeout, bounds.node_most, bounds.breakers.clone())
+        };
+        // What is over a limit was never sent, and is not the node's fault.
+        if figures.connections.get() >= node_most {
+            return Err(Status::Moot);
+        }
+        let _pending = match &breakers {
+            None => None,
+            Some(breakers) => {
+                while self.open.get() >= breakers.connections(importance) {
+                    if !self.yield_idle() {
+                        return Err(Status::Moot);
+                    }
+                }
+                Some(breakers.take(importance, Trip::Pending).map_err(|_| Status::Moot)?)
+            }
+        };
+        let counted = [Counted::new(&self.open), Counted::new(&figures.connections)];
         let permit = loop {
             match self.descriptors.take() {
                 Some(permit) => break permit,
@@ -271,7 +431,7 @@
                 None => return Err(Status::Moot),
             }
         };
-        let connecting = tokio::time::timeout(self.connect_timeout, TcpStream::connect(addr)).await;
+        let connecting = tokio::time::timeout(timeout, TcpStream::connect(addr)).await;
         let Ok(Ok(stream)) = connecting else { return Err(Status::ConnectFailed) };
         let socket = Socket::new(stream, permit);
         // Danger: by default hyper reads a head of some 400 KB before it gives up.
@@ -279,7 +439,7 @@
             http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(TokioIo::new(Io(socket.clone())));
         let (sender, driver) = shaken.await.map_err(|_| Status::ConnectFailed)?;
         let driver = tokio::task::spawn_local(driver).abort_handle();
-        Ok(Connection { sender, socket, driver })
+        Ok(Connection { sender, socket, driver, _counted: counted })
     }
 }
 
@@ -330,9 +490,10 @@
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Status::Full,
         _ => Status::Error,
     };
+    let code = head.status.as_u16();
     let hit = head.headers.get(&LOOKUP).map(|v| v == "hit");
     let answer = (status == Status::Ok).then(|| Response::from_parts(head, body));
-    (Ended { status, hit, answer }, true)
+    (Ended { status, code, hit, answer }, true)
 }
 
 #[cfg(test)]
@@ -349,7 +510,9 @@
         upstreams.update(true, &[(entry, node.local_addr().ok())]);
         let job =
             Job { method: Method::GET, uri: Uri::default(), headers: HeaderMap::new(), body: Bytes::new() };
-        let ended = upstreams.attempt(1, &job, Duration::from_secs(30), &Tether::default()).await;
+        let ended = upstreams
+            .attempt(1, &job, Duration::from_secs(30), &Tether::default(), Importance::Default)
+            .await;
         assert_eq!(ended.status, Status::Moot);
     }
 }
