Grow old by themselves, keep a few healthy among thousands, and count ready nodes once

Cause: an assignment past endpoint_stale_after was reckoned as unhealthy but nothing was told of it until something else changed; eight healthy endpoints of ten thousand round to no percent, and without panic nothing was sent to them (Envoy sends all to priority 0 there); whether any node takes work was counted at each request, so that a cluster of 10,000 draining nodes answered 6,600 requests a second where 32,000 are usual.

Change: Pool::tick says when it changed something; loads follow Envoy in that corner, and so does the second calculation; the count is kept at each change of the list. Of several listeners the one at the proxy's own address is served. Measuring programs: examples/envoy_figures.rs, examples/bare_cost.rs.

--- a/crates/envoy/src/catalogue/settle.rs
+++ b/crates/envoy/src/catalogue/settle.rs
@@ -22,8 +22,8 @@
                 // "initial_fetch_timeout": it goes on without endpoints.
                 held.warmth = Warmth::Active;
             }
-            held.pool.tick(now);
-            if over || held.pool.wake(now).is_some_and(|at| at <= now) || held.is_told_otherwise() {
+            let stale = held.pool.tick(now);
+            if over || stale || held.pool.wake(now).is_some_and(|at| at <= now) || held.is_told_otherwise() {
                 self.dirty.insert(name.clone());
             }
         }
--- a/crates/envoy/tests/catalogue.rs
+++ b/crates/envoy/tests/catalogue.rs
@@ -205,6 +205,22 @@
     assert_eq!(world.nodes("a"), Some(vec!["127.0.0.1"]));
 }
 
+#[test]
+fn endpoints_that_grow_old_get_nothing_new_by_themselves() {
+    let mut world = World::new(DYNAMIC);
+    let calm = "name: a\ntype: EDS\ncommon_lb_config: {healthy_panic_threshold: {value: 0}}\neds_cluster_config: {eds_config: {ads: {}}}";
+    world.tell(Kind::Cluster, vec![resource(Kind::Cluster, calm)], &[]);
+    let list = "cluster_name: a\npolicy: {endpoint_stale_after: 5s}\nendpoints: [{lb_endpoints: [{endpoint: {address: {socket_address: {address: 127.0.0.1, port_value: 80}}}}]}]";
+    world.tell(Kind::Endpoints, vec![resource(Kind::Endpoints, list)], &[]);
+    let start = world.now;
+    world.wait(start + 5 * SECOND - 1);
+    assert_eq!(world.clusters["a"]["127.0.0.1"], Standing::Serves);
+    world.wait(start + 5 * SECOND);
+    assert_eq!(world.clusters["a"]["127.0.0.1"], Standing::Drains);
+    world.tell(Kind::Endpoints, vec![resource(Kind::Endpoints, list)], &[]);
+    assert_eq!(world.clusters["a"]["127.0.0.1"], Standing::Serves);
+}
+
 #[test]
 fn a_cluster_is_renamed() {
     let mut world = World::new(DYNAMIC);
--- a/crates/pools/src/levels.rs
+++ b/crates/pools/src/levels.rs
@@ -77,6 +77,12 @@
     if total == 100 {
         return loads;
     }
+    // Without panic the first takes all where no priority can take a whole percent: a few that are healthy among very many
+    // are still sent to.
+    if total == 0 && panic == 0.0 {
+        loads[0].healthy = 100;
+        return loads;
+    }
     for (load, level) in loads.iter_mut().zip(levels) {
         let percent = match level.hosts {
             0 => 0.0,
--- a/crates/pools/src/pool.rs
+++ b/crates/pools/src/pool.rs
@@ -197,11 +197,13 @@
         self.compute(now);
     }
 
-    /// Time has passed.
-    pub fn tick(&mut self, now: Nanos) {
-        if self.stale_at.is_some_and(|at| at <= now) && !self.is_stale(now, true) {
+    /// Time has passed; returns whether the assignment has grown too old by it.
+    pub fn tick(&mut self, now: Nanos) -> bool {
+        let over = self.stale_at.is_some_and(|at| at <= now) && !self.is_stale(now, true);
+        if over {
             self.compute(now);
         }
+        over
     }
 
     /// Whether the assignment is older than it may be; `told`: whether that has been reckoned with.
--- a/crates/pools/tests/shares.rs
+++ b/crates/pools/tests/shares.rs
@@ -30,7 +30,7 @@
             .enumerate()
             .map(|(e, (health, weight))| Endpoint {
                 id: format!("{l}-{e}").into(),
-                addr: format!("127.0.{l}.{}:80", e + 1).parse().expect("an address"),
+                addr: format!("127.{}.{l}.{}:80", e / 250, e % 250 + 1).parse().expect("an address"),
                 weight: NonZeroU32::new(*weight).expect("over 0"),
                 health: STATES[*health],
                 place: Place::default(),
@@ -89,6 +89,10 @@
     if open == 0 {
         return vec![0.0; all.len()];
     }
+    // "If panic is disabled and nobody is available, all of the load goes to priority 0."
+    if total == 0 && panic == 0.0 {
+        healthy[0] = 100;
+    }
     if (0..top).all(panics) {
         let mut left = 100;
         for p in 0..top {
@@ -214,3 +218,11 @@
     let calm = effective(&assignment(&told, 140), &Sharing { panic: 0.0, ..sharing }, false);
     assert_eq!(calm.refused, 0.0);
 }
+
+/// A handful that is healthy among thousands rounds to no percent at all.
+#[test]
+fn a_few_among_very_many_are_still_sent_to_without_a_panic() {
+    let told: Told = vec![(0, None, (0..2000).map(|i| (if i < 2 { 0 } else { 2 }, 1)).collect())];
+    let now = effective(&assignment(&told, 140), &Sharing { panic: 0.0, ..Sharing::default() }, false);
+    assert_eq!((now.parts[0], now.parts[1], now.parts[2]), (0.5, 0.5, 0.0));
+}
--- /dev/null
+++ b/examples/bare_cost.rs
@@ -0,0 +1,73 @@
+//! What a request costs a bare proxy in CPU time, for each binary given, in turn:
+//! `cargo run --release --locked --example bare_cost -- target/release/rushquay [another ...]`.
+
+use rushquay_standins::{entry, proxy_config, Discovery, Load, Node};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+const ROUNDS: usize = 4;
+const TIME: Duration = Duration::from_secs(4);
+const CLIENTS: usize = 32;
+
+/// CPU time in microseconds, and resident memory in KiB.
+fn used(process: u32) -> (f64, u64) {
+    let read = |name: &str| std::fs::read_to_string(format!("/proc/{process}/{name}")).unwrap_or_default();
+    let stat = read("stat");
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+    let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+    let resident =
+        read("status").lines().find_map(|l| l.strip_prefix("VmRSS:")?.trim().split(' ').next()?.parse().ok());
+    ((ticks(11) + ticks(12)) * 10_000.0, resident.unwrap_or(0))
+}
+
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn main() {
+    let binaries: Vec<String> = std::env::args().skip(1).collect();
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build();
+    runtime.expect("a runtime").block_on(async {
+        let mut nodes = Vec::new();
+        for i in 0..8 {
+            nodes.push(Node::start(&format!("n{i}"), Duration::ZERO).await);
+        }
+        let listed: Vec<_> = nodes.iter().map(|n| entry(n, "rajkot", "std-1c", "ready", 1000)).collect();
+        let discovery = Discovery::start(1, &listed).await;
+        let config = std::env::temp_dir().join(format!("rushquay-cost-{}.json", std::process::id()));
+        let listen: SocketAddr = {
+            let free = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("bound");
+            free.local_addr().expect("an address")
+        };
+        let mut told = proxy_config("cost", discovery.addr, &[], &listed);
+        told["listen"] = listen.to_string().into();
+        std::fs::write(&config, told.to_string()).expect("written");
+        println!("| binary | round | requests | CPU a request, µs | resident, KiB |\n| --- | ---: | ---: | ---: | ---: |");
+        for round in 0..ROUNDS {
+            for binary in &binaries {
+                let mut command = Command::new(binary);
+                command.env("PROXY_CONFIG", &config).stderr(Stdio::null());
+                let running = Running(command.spawn().expect("started"));
+                while tokio::net::TcpStream::connect(listen).await.is_err() {
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+                let load = Load::start(listen, "w", CLIENTS, Duration::ZERO);
+                tokio::time::sleep(Duration::from_secs(1)).await;
+                let (before, from) = (load.outcomes().served, used(running.0.id()));
+                tokio::time::sleep(TIME).await;
+                let (after, to) = (load.outcomes().served, used(running.0.id()));
+                let outcomes = load.stop().await;
+                assert_eq!((outcomes.lost, outcomes.failed, outcomes.refused), (0, 0, 0));
+                let (count, cpu) = (after - before, to.0 - from.0);
+                println!("| {binary} | {round} | {count} | {:.2} | {} |", cpu / count as f64, to.1);
+            }
+        }
+        let _ = std::fs::remove_file(&config);
+    });
+}
--- a/examples/envoy_figures.rs
+++ b/examples/envoy_figures.rs
@@ -135,7 +135,7 @@
         };
         (0..64).for_each(|key| ask(&mut module, key));
         let known = per_call(50_000, |i| ask(&mut module, u64::from(i % 64)));
-        let rounds = 200;
+        let rounds = 200u32;
         let mut changed = 0.0;
         for i in 0..rounds {
             let entries = vec![entry(u64::from(i) % count, 1.0 + f64::from(i % 7))];
@@ -146,9 +146,51 @@
     }
 }
 
+const COUNT: usize = 10_000;
+
+/// Bytes that an endpoint holds with all that is kept of it: the resource, the assignment, the pool. In a process of its own,
+/// whose allocator has nothing to give again.
+fn memory() {
+    let body = encoded(Kind::Endpoints, &assignment(&endpoints(COUNT, 0, "")));
+    let path = std::env::temp_dir().join(format!("rushquay-figures-{}.bin", std::process::id()));
+    std::fs::write(&path, body).expect("written");
+    let this = std::env::current_exe().expect("this program");
+    let done = std::process::Command::new(this).arg(&path).status();
+    let _ = std::fs::remove_file(&path);
+    assert!(done.is_ok_and(|s| s.success()));
+}
+
+fn memory_of(path: &str) {
+    const COPIES: usize = 8;
+    let text = "dynamic_resources: {lds_config: {path_config_source: {path: /x}}, cds_config: {path_config_source: {path: /y}}}";
+    let file = bootstrap(text).expect("good");
+    let eds = "{name: c, type: EDS, eds_cluster_config: {eds_config: {path_config_source: {path: /z}}}}";
+    let bodies = [
+        (Source::File("/y".into()), Kind::Cluster, encoded(Kind::Cluster, eds)),
+        (Source::File("/z".into()), Kind::Endpoints, std::fs::read(path).expect("read")),
+    ];
+    let fill = || {
+        let mut catalogue = Catalogue::new(&file, Choice::default(), 1);
+        for (source, kind, body) in &bodies {
+            let (name, item) = decode(*kind, body, &mut Notes::default()).expect("good");
+            let resource = Resource { name, version: "1".into(), item, encoded: body.clone() };
+            catalogue.take(source, *kind, vec![resource], &[], true, 1);
+            drop(catalogue.settle(1));
+        }
+        catalogue
+    };
+    // The first leaves room that the others use again.
+    let first = fill();
+    let before = resident();
+    let all: Vec<Catalogue> = (0..COPIES).map(|_| fill()).collect();
+    let each = (resident() - before) / (COPIES * COUNT) as f64;
+    println!("memory of an endpoint, of {COUNT}: {each:.0} bytes");
+    drop((first, all));
+}
+
 fn pools() {
-    println!("\na list of endpoints whose weights all change, milliseconds; and memory\n");
-    println!("| endpoints | looked over and read | shares and changes | memory an endpoint, all kept |\n| ---: | ---: | ---: | ---: |");
+    println!("\na list of endpoints whose weights all change, milliseconds\n");
+    println!("| endpoints | looked over and read | shares and changes |\n| ---: | ---: | ---: |");
     for count in [10usize, 1000, 10_000] {
         let bodies: Vec<Vec<u8>> =
             (0..4).map(|s| encoded(Kind::Endpoints, &assignment(&endpoints(count, s, "")))).collect();
@@ -170,31 +212,7 @@
             assert!(!pool.changes(u64::from(i)).is_empty());
         });
         drop((pool, read));
-        // All that is kept of them: the resource, the assignment, the pool.
-        let text = "static_resources: {listeners: [], clusters: []}\ndynamic_resources: {lds_config: {path_config_source: {path: /x}}, cds_config: {path_config_source: {path: /y}}}";
-        let file = bootstrap(text).expect("good");
-        let before = resident();
-        let mut all: Vec<Catalogue> = Vec::new();
-        let copies = 40_000 / count.max(1000);
-        for _ in 0..copies {
-            let mut catalogue = Catalogue::new(&file, Choice::default(), 1);
-            let source = Source::File("/y".into());
-            let eds =
-                "{name: c, type: EDS, eds_cluster_config: {eds_config: {path_config_source: {path: /z}}}}";
-            for (source, kind, body) in [
-                (source, Kind::Cluster, encoded(Kind::Cluster, eds)),
-                (Source::File("/z".into()), Kind::Endpoints, bodies[0].clone()),
-            ] {
-                let (name, item) = decode(kind, &body, &mut Notes::default()).expect("good");
-                let resource = Resource { name, version: "1".into(), item, encoded: body };
-                catalogue.take(&source, kind, vec![resource], &[], true, 1);
-                drop(catalogue.settle(1));
-            }
-            all.push(catalogue);
-        }
-        let memory = (resident() - before) / (copies * count) as f64;
-        let shown = if count < 1000 { "-".to_owned() } else { format!("{memory:.0} B") };
-        println!("| {count} | {:.3} | {:.3} | {shown} |", reading / 1e6, sharing / 1e6);
+        println!("| {count} | {:.3} | {:.3} |", reading / 1e6, sharing / 1e6);
     }
 }
 
@@ -378,6 +396,10 @@
 }
 
 fn main() {
+    if let Some(path) = std::env::args().nth(1) {
+        return memory_of(&path);
+    }
+    memory();
     routing();
     choosing();
     pools();
--- a/src/net/envoy/admin.rs
+++ b/src/net/envoy/admin.rs
@@ -184,7 +184,8 @@
     let catalogue = shared.catalogue.borrow();
     let missing: Vec<String> = catalogue.missing().iter().map(|n| n.to_string()).collect();
     let ready = catalogue.is_ready();
-    (ready, json!({"routes": ready, "clusters_missing": missing}))
+    let listener = catalogue.listener().map(|l| l.name.as_str());
+    (ready, json!({"listener": listener, "routes": ready, "clusters_missing": missing}))
 }
 
 /// Near `envoy.admin.v3.ConfigDump`. Fields that are ignored are left out.
--- a/src/net/envoy/driver.rs
+++ b/src/net/envoy/driver.rs
@@ -1,6 +1,6 @@
 //! The thread that follows what is declared: the stream, files and look-ups go into the catalogue, changes come out.
 
-use super::{admin, files, lookup, EnvoySource, FiguresAsked, Handover, Resolver};
+use super::{admin, files, lookup, EnvoySource, FiguresAsked, Handover, Me, Resolver};
 use crate::net::engine::Clock;
 use crate::net::log;
 use prost::Message as _;
@@ -30,26 +30,19 @@
 
 pub struct Driver {
     source: EnvoySource,
-    name: String,
-    seed: u64,
+    me: Me,
     hand: Arc<Handover>,
     resolver: Rc<dyn Resolver>,
     shared: Rc<Shared>,
 }
 
 impl Driver {
-    pub fn new(
-        source: EnvoySource,
-        name: String,
-        seed: u64,
-        hand: Arc<Handover>,
-        resolver: Rc<dyn Resolver>,
-    ) -> Self {
+    pub fn new(source: EnvoySource, me: Me, hand: Arc<Handover>, resolver: Rc<dyn Resolver>) -> Self {
         let clock = Clock::new();
-        let choice = Choice { name: source.listener.clone(), address: source.listen() };
+        let choice = Choice { name: source.listener.clone(), address: Some(me.listen) };
         let catalogue = Rc::new(RefCell::new(Catalogue::new(&source.bootstrap, choice, clock.now())));
         let shared = Rc::new(Shared { catalogue, clock, kick: Notify::new() });
-        Driver { source, name, seed, hand, resolver, shared }
+        Driver { source, me, hand, resolver, shared }
     }
 
     /// Starts what can fail; gives where the admin page is, and the work that goes on for good.
@@ -66,7 +59,7 @@
         }
         let wake = Arc::new(Notify::new());
         if let Some(options) = self.stream(wake.clone())? {
-            tokio::task::spawn_local(follow(options, self.session(), self.seed, self.shared.clone()));
+            tokio::task::spawn_local(follow(options, self.session(), self.me.seed, self.shared.clone()));
         }
         tokio::task::spawn_local(files::follow(self.shared.clone()));
         Ok((at, self.settle(wake)))
@@ -81,9 +74,10 @@
                 Some((Tls::read(&files).map_err(|e| e.to_string())?, s.name.clone()))
             }
         };
-        let mut node = Node::decode(self.source.bootstrap.node.as_slice()).map_err(|e| format!("node: {e}"))?;
+        let mut node =
+            Node::decode(self.source.bootstrap.node.as_slice()).map_err(|e| format!("node: {e}"))?;
         if node.id.is_empty() {
-            node.id.clone_from(&self.name);
+            node.id.clone_from(&self.me.name);
         }
         node.user_agent_name = "rushquay".into();
         Ok(Some(ClientOptions {
--- a/src/net/envoy/mod.rs
+++ b/src/net/envoy/mod.rs
@@ -51,12 +51,22 @@
 /// Where the proxy's thread is asked for them.
 type FiguresAsked = mpsc::Sender<oneshot::Sender<Figures>>;
 
+/// Who follows.
+pub struct Me {
+    /// The proxy's name, where the bootstrap file gives no `node.id`.
+    pub name: String,
+    /// For the waits between attempts to connect.
+    pub seed: u64,
+    /// Where it listens: of several listeners that are told this one's is served.
+    pub listen: SocketAddr,
+}
+
 /// Follows what is declared, for as long as the proxy's thread lives.
 ///
 /// # Errors
 /// An admin page that can't listen, or secrets that can't be read.
-pub fn follow(source: EnvoySource, pools: Rc<Pools>, name: String, seed: u64) -> Result<(), String> {
-    follow_with(source, pools, name, seed, || Rc::new(SystemResolver))
+pub fn follow(source: EnvoySource, pools: Rc<Pools>, me: Me) -> Result<(), String> {
+    follow_with(source, pools, me, || Rc::new(SystemResolver))
 }
 
 /// The same, with names looked up by somebody else.
@@ -66,8 +76,7 @@
 pub fn follow_with(
     source: EnvoySource,
     pools: Rc<Pools>,
-    name: String,
-    seed: u64,
+    me: Me,
     resolver: impl FnOnce() -> Rc<dyn Resolver> + Send + 'static,
 ) -> Result<(), String> {
     let hand = Arc::new(Handover::default());
@@ -82,7 +91,7 @@
             Err(e) => return drop(ready.send(Err(format!("the runtime: {e}")))),
         };
         let work = async move {
-            let driver = driver::Driver::new(source, name, seed, pushed, resolver());
+            let driver = driver::Driver::new(source, me, pushed, resolver());
             match driver.start(figures).await {
                 Err(e) => drop(ready.send(Err(e))),
                 Ok((admin, work)) => {
@@ -166,10 +175,11 @@
             let ips =
                 |list: &[&str]| list.iter().map(|ip| ip.parse().expect("an address")).collect::<Vec<_>>();
             let answers: Answers = Arc::new(Mutex::new(Ok(ips(&["127.0.0.1", "127.0.0.2", "::1"]))));
+            let listen = "127.0.0.1:1".parse().expect("an address");
+            let me = Me { name: "p".into(), seed: 1, listen };
             let (told, asked) = (answers.clone(), Arc::new(AtomicUsize::new(0)));
             let counted = asked.clone();
-            follow_with(source, pools.clone(), "p".into(), 1, || Rc::new(Told(told, counted)))
-                .expect("started");
+            follow_with(source, pools.clone(), me, || Rc::new(Told(told, counted))).expect("started");
             let addresses = || {
                 let mut found: Vec<String> =
                     pools.figures().1.into_iter().map(|n| n.id.to_string()).collect();
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -190,7 +190,8 @@
     let front = match config.envoy.clone() {
         Some(source) => {
             let pools = Pools::new(settings.clone(), config.names, config.seed, descriptors.clone());
-            envoy::follow(source, pools.clone(), config.name, config.seed)?;
+            let me = envoy::Me { name: config.name, seed: config.seed, listen: bound };
+            envoy::follow(source, pools.clone(), me)?;
             Front::Pools(pools)
         }
         None => one(config, descriptors.clone(), hangup)?,
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -161,6 +161,8 @@
     bounds: RefCell<Bounds>,
     open: Rc<Cell<u32>>,
     epochs: Cell<u64>,
+    /// How many nodes take work. Danger: counted at each request, thousands that take none would slow them all.
+    ready: Cell<usize>,
 }
 
 /// For how long an idle connection is kept where its node closes it after `limit` at the latest; 0: nobody knows.
@@ -181,8 +183,8 @@
 
     /// With bounds of its own.
     pub fn bounded(descriptors: Rc<Descriptors>, bounds: Bounds) -> Rc<Self> {
-        let (nodes, open, epochs) = Default::default();
-        Rc::new(Upstreams { nodes, descriptors, bounds: RefCell::new(bounds), open, epochs })
+        let (nodes, open, epochs, ready) = Default::default();
+        Rc::new(Upstreams { nodes, descriptors, bounds: RefCell::new(bounds), open, epochs, ready })
     }
 
     /// Other bounds for connections from now on.
@@ -215,6 +217,7 @@
             let (addr, started, idle) = (*addr, entry.started, Vec::new());
             nodes.insert(entry.server, Node { addr, started, ready, epoch, idle, grouped, figures });
         }
+        self.ready.set(nodes.values().filter(|n| n.ready && n.addr.is_some()).count());
     }
 
     /// A node came over from another group at this time.
@@ -255,7 +258,7 @@
 
     /// Whether any node takes work.
     pub fn any_ready(&self) -> bool {
-        self.nodes.borrow().values().any(|n| n.ready && n.addr.is_some())
+        self.ready.get() > 0
     }
 
     /// Closes the idle connections to a node.
