--- a/crates/envoy/src/catalogue/mod.rs
+++ b/crates/envoy/src/catalogue/mod.rs
@@ -276,7 +276,7 @@
                 }
                 // It does not exist, so nothing is to be waited for. One that was there stands: that its name is told to be
                 // gone says nothing of its endpoints.
-                Kind::Endpoints => self.give_up(source, &name, now),
+                Kind::Endpoints => self.give_up(source, &name),
                 Kind::Route | Kind::Endpoint => {}
             }
         }
@@ -393,13 +393,12 @@
         }
     }
 
-    fn give_up(&mut self, source: &Source, service: &str, now: Nanos) {
+    fn give_up(&mut self, source: &Source, service: &str) {
         for (name, held) in &mut self.clusters {
             let mine = matches!(&held.spec.members, Members::Eds { service: s, from } if **s == *service && from.source == *source);
             if mine && !held.pool.is_assigned() {
                 held.warmth = Warmth::Active;
                 self.dirty.insert(name.clone());
-                let _ = now;
             }
         }
     }
--- a/crates/pools/src/pool.rs
+++ b/crates/pools/src/pool.rs
@@ -151,7 +151,7 @@
         let first = !std::mem::replace(&mut self.assigned, true);
         self.assignment = assignment;
         self.pass += 1;
-        for (locality, endpoint) in self.assignment.endpoints() {
+        for (_, endpoint) in self.assignment.endpoints() {
             let started = endpoint.started.unwrap_or(if first { 0 } else { now });
             let place = &endpoint.place;
             let held = self.held.entry(endpoint.id.clone()).or_insert_with(|| Held {
@@ -184,7 +184,6 @@
             }
             node.addr = endpoint.addr;
             (node.zone, node.kind, node.cell) = (place.zone.clone(), place.kind.clone(), place.cell);
-            let _ = locality;
         }
         let pass = self.pass;
         let gone = self.held.iter().filter(|(_, h)| h.pass != pass).map(|(id, _)| id.clone());
