Take out what reading the change again found dead or said twice

Cause: the catalogue's clusters held a mark that nothing read (the kept resource has it); pools had a second way to ask for overloads that only routed.rs's own loop does; a filter's disabled flag was looked for under one name twice; one comment claimed more than its function tells.

Change: these are gone; no behaviour.

--- a/crates/envoy/src/catalogue/mod.rs
+++ b/crates/envoy/src/catalogue/mod.rs
@@ -85,8 +85,6 @@
     pub spec: Cluster,
     pub pool: Pool,
     pub warmth: Warmth,
-    /// It stands in the bootstrap file and can't be replaced.
-    fixed: bool,
     told: Option<Arc<Spec>>,
     shed: (f64, Vec<Overload>),
     split: Split,
@@ -158,7 +156,7 @@
         };
         for (cluster, encoded) in &bootstrap.clusters {
             catalogue.kept.insert((Kind::Cluster, cluster.name.to_string()), kept(encoded));
-            catalogue.put_cluster(cluster.clone(), true, now);
+            catalogue.put_cluster(cluster.clone(), now);
         }
         for (listener, encoded) in &bootstrap.listeners {
             catalogue.kept.insert((Kind::Listener, listener.name.clone()), kept(encoded));
@@ -251,7 +249,7 @@
             }
             self.kept.insert((kind, name.clone()), Kept { version, encoded, fixed: false, at: now });
             match item {
-                Item::Cluster(cluster) => self.put_cluster(*cluster, false, now),
+                Item::Cluster(cluster) => self.put_cluster(*cluster, now),
                 Item::Endpoints(assignment) => {
                     let service: Arc<str> = name.into();
                     self.assignments.insert((source.clone(), service.clone()), assignment.clone());
@@ -314,20 +312,18 @@
         (self.table.as_ref(), self.next.as_ref().map(|(t, _)| t))
     }
 
-    fn put_cluster(&mut self, spec: Cluster, fixed: bool, now: Nanos) {
+    fn put_cluster(&mut self, spec: Cluster, now: Nanos) {
         let name = spec.name.clone();
         let held = self.clusters.entry(name.clone()).or_insert_with(|| Held {
             pool: Pool::new(spec.rules),
             spec: spec.clone(),
             warmth: Warmth::Warming(0),
-            fixed,
             told: None,
             shed: (0.0, Vec::new()),
             split: Vec::new(),
             origin: BTreeMap::new(),
         });
         held.pool.set_rules(spec.rules, now);
-        held.fixed = fixed;
         let same_service = match (&held.spec.members, &spec.members) {
             (Members::Eds { service: a, from: f }, Members::Eds { service: b, from: g }) => {
                 a == b && f.source == g.source
--- a/crates/envoy/src/catalogue/settle.rs
+++ b/crates/envoy/src/catalogue/settle.rs
@@ -173,7 +173,7 @@
         }
     }
 
-    /// Whether routes have held once, and every cluster that they name is there.
+    /// Whether routes have held once.
     pub fn is_ready(&self) -> bool {
         self.routed
     }
--- a/crates/envoy/src/text.rs
+++ b/crates/envoy/src/text.rs
@@ -91,12 +91,11 @@
 }
 
 fn passed_over(message: &Message, told: &Map<String, Value>) -> bool {
-    let says = |names: [&str; 2]| names.iter().any(|n| told.get(*n) == Some(&Value::Bool(true)));
+    let names = ["is_optional", "isOptional", "disabled"];
+    let says = names.iter().any(|n| told.get(*n) == Some(&Value::Bool(true)));
     let config = told.get("typed_config").or(told.get("typedConfig"));
     let url = config.and_then(|c| c.get("@type")).and_then(Value::as_str).unwrap_or_default();
-    message.name.ends_with(".HttpFilter")
-        && (says(["is_optional", "isOptional"]) || says(["disabled", "disabled"]))
-        && crate::fields::message(any_name(url)).is_none()
+    message.name.ends_with(".HttpFilter") && says && crate::fields::message(any_name(url)).is_none()
 }
 
 fn key(number: u32, wire: u32, out: &mut Vec<u8>) {
--- a/crates/pools/src/assignment.rs
+++ b/crates/pools/src/assignment.rs
@@ -233,10 +233,4 @@
     pub fn endpoints(&self) -> impl Iterator<Item = (&Locality, &Endpoint)> {
         self.localities.iter().flat_map(|l| l.endpoints.iter().map(move |e| (l, e)))
     }
-
-    /// Which category turns a request away; `random` gives numbers from 0 up to 1. Categories are asked in order, each
-    /// with its own chance (`drop_overloads`).
-    pub fn turned_away(&self, mut random: impl FnMut() -> f64) -> Option<&Arc<str>> {
-        self.rules.overloads.iter().find(|o| random() < o.part).map(|o| &o.category)
-    }
 }
