Keep idle connections for as long as nodes have room, and count a fleet's doings by cause

Full queues answer without the close. At fault: Upstreams kept each idle connection for 11 s (idle_most), so that a hundred proxies filled every node within 2 s, and each told the module of a full queue, which then refused and shed instead of looking for another node. Change: crates/fleet Keep steers the span by the part of new connections turned away, by machine kind; a full table is told as a connection that could not be had. crates/account and PROXY_ACCOUNT=1 count by cause, rushquay account sums over proxies.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -70,6 +70,15 @@
         #[arg(long)]
         once: bool,
     },
+    /// Sums the accounts that proxies wrote into their logs with PROXY_ACCOUNT=1: what the fleet is asked for, by cause.
+    Account {
+        /// Seconds in a column.
+        #[arg(long, default_value_t = 5)]
+        every: u64,
+        /// The proxies' logs.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Checks a node list, a proxy's configuration, settings of either command, or an Envoy bootstrap file; names what is
     /// wrong, and of a bootstrap file what will be obeyed.
     Check {
@@ -124,6 +133,10 @@
         }
         Command::Override(args) => threads()?.block_on(overrides::run(args)),
         Command::Demo { once } => threads()?.block_on(async { demo::demo(once, ending()?).await }),
+        Command::Account { every, logs } => {
+            print!("{}", net::account::table(&logs, every)?);
+            Ok(())
+        }
         Command::Check { file: Some(file), .. } => {
             println!("{}", check::check(&file)?);
             Ok(())
--- /dev/null
+++ b/src/net/account.rs
@@ -0,0 +1,114 @@
+//! This proxy's account of what it does, a line a second on standard error. Off unless `PROXY_ACCOUNT` is set; while it
+//! is off a count costs a look at a flag.
+
+use super::engine::Answer;
+use crate::api::Status;
+pub use rushquay_account::Kind;
+use rushquay_account::{Account, Sum};
+use std::cell::RefCell;
+use std::io::Write as _;
+use std::path::PathBuf;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Switches the account on, whatever its value.
+const VARIABLE: &str = "PROXY_ACCOUNT";
+
+thread_local! {
+    // A proxy is one thread.
+    static ACCOUNT: RefCell<Option<Account>> = const { RefCell::new(None) };
+}
+
+/// Whether an account is kept.
+pub fn on() -> bool {
+    ACCOUNT.with_borrow(Option::is_some)
+}
+
+/// Counts so many of a kind.
+pub fn count(kind: Kind, many: u64) {
+    ACCOUNT.with_borrow_mut(|a| a.iter_mut().for_each(|a| a.add(kind, many)));
+}
+
+/// An attempt: whether one is out beside it, how the last one ended, and where it goes.
+pub fn attempt(busy: bool, last: Option<Status>, origin: bool, cold: bool) {
+    let kind = match (last, origin) {
+        _ if busy => Kind::Copy,
+        (None, true) => Kind::Write,
+        (None, false) => Kind::First,
+        (Some(Status::Miss), true) => Kind::Fetch,
+        (Some(Status::Timeout), true) => Kind::FetchSilent,
+        (Some(Status::ConnectFailed), _) => Kind::AgainUnreached,
+        _ => Kind::Again,
+    };
+    count(kind, 1);
+    count(Kind::Cold, u64::from(cold));
+}
+
+/// How an attempt ended.
+pub fn outcome(status: Status) {
+    let kind = match status {
+        Status::Ok => Kind::Answered,
+        Status::Miss => Kind::Missed,
+        Status::Full => Kind::Full,
+        Status::ConnectFailed => Kind::Unreached,
+        Status::Timeout => Kind::Silent,
+        _ => Kind::Broken,
+    };
+    count(kind, 1);
+}
+
+/// A final answer that serves nothing, and how the last attempt ended.
+pub fn unserved(answer: &Answer, last: Option<Status>) {
+    let kind = match (answer, last) {
+        (Answer::Served(_), _) => return,
+        (Answer::Failed | Answer::Overdue, _) => Kind::Failed,
+        (_, None) => Kind::RefusedUnsent,
+        (_, Some(Status::Miss)) => Kind::RefusedMiss,
+        (_, Some(Status::Full)) => Kind::RefusedFull,
+        (_, Some(Status::ConnectFailed)) => Kind::RefusedUnreached,
+        (_, Some(Status::Timeout)) => Kind::RefusedSilent,
+        _ => Kind::RefusedOther,
+    };
+    count(kind, 1);
+}
+
+/// Starts the account where it is asked for.
+pub fn start() {
+    if std::env::var_os(VARIABLE).is_none() || on() {
+        return;
+    }
+    ACCOUNT.set(Some(Account::default()));
+    tokio::task::spawn_local(async {
+        loop {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            write();
+        }
+    });
+}
+
+fn write() {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
+    let Some(account) = ACCOUNT.with_borrow_mut(|a| a.as_mut().map(std::mem::take)) else { return };
+    if !account.is_empty() {
+        let _ = writeln!(std::io::stderr(), "rushquay: {}", account.line(now));
+    }
+}
+
+/// The accounts in these logs, summed, as a table.
+///
+/// # Errors
+/// A file that can't be read, or a line that is spoilt, with its place.
+pub fn table(logs: &[PathBuf], every: u64) -> Result<String, String> {
+    let mut sum = Sum::default();
+    for path in logs {
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        for (n, line) in text.lines().enumerate() {
+            sum.take(line).map_err(|e| format!("{}:{}: {e}", path.display(), n + 1))?;
+        }
+    }
+    match sum.table(every) {
+        empty if empty.is_empty() => {
+            Err(format!("no account in these logs; run the proxies with {VARIABLE}=1"))
+        }
+        table => Ok(table),
+    }
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,5 +1,6 @@
 //! Follows the list of cache nodes: a watch at discovery, renewed at once after each answer.
 
+use super::account::{self, Kind};
 use super::nodes::NodeList;
 use super::socket::{Descriptors, Io, Socket};
 use super::Body;
@@ -102,9 +103,11 @@
                     if let Some(n) = self.outage.over() {
                         super::log(format_args!("discovery at {} answers after {n} failures", self.addr));
                     }
+                    account::count(Kind::ListLines, members.servers.len() as u64);
                     nodes.discovered(&members);
                 }
                 Err(e) => {
+                    account::count(cause(&e), 1);
                     if let Some(n) = self.outage.failed(&e) {
                         super::log(format_args!("discovery at {}: {e} (failure {n})", self.addr));
                     }
@@ -156,6 +159,7 @@
         };
         sender.ready().await.map_err(|e| format!("connection lost: {e}"))?;
         let path = self.cursor.path(self.hold.as_millis());
+        account::count(self.cursor.version().map_or(Kind::ListWhole, |_| Kind::ListWatch), 1);
         let request = Request::get(path).header(HOST, self.addr.to_string()).body(Body::default());
         let response = sender.send_request(request.map_err(|e| e.to_string())?).await;
         let (head, body) = response.map_err(|e| format!("no answer: {e}"))?.into_parts();
@@ -179,3 +183,12 @@
         Ok(sender)
     }
 }
+
+/// What a failed call counts as.
+fn cause(e: &str) -> Kind {
+    match e {
+        _ if e.starts_with("answered ") => Kind::ListRefused,
+        _ if e.starts_with("no answer in time") => Kind::ListSilent,
+        _ => Kind::ListBroken,
+    }
+}
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -1,6 +1,7 @@
 //! The sole owner of the decision module and of all requests, attempts and timers: events of the network go in,
 //! the module's actions come out. Each request gets one final answer.
 
+use super::account::{self, Kind};
 use super::config::Names;
 use super::terms::{Made, Terms};
 use super::upstream::{Ended, Job, Tether, Upstreams};
@@ -71,6 +72,8 @@
     out: Option<(Rc<Tether>, AbortHandle)>,
     /// What its route and cluster make of it.
     made: Made,
+    /// How it ended, if it has.
+    status: Option<Status>,
 }
 
 struct Pending {
@@ -103,6 +106,8 @@
     clock: Clock,
     names: Rc<Names>,
     cancel: bool,
+    origin: Option<u32>,
+    cold: Nanos,
     /// By class: a repeat rests on a group that remembers it.
     keyed: Vec<bool>,
     core: RefCell<Core>,
@@ -127,6 +132,8 @@
             clock: Clock::new(),
             names,
             cancel: settings.cancel,
+            origin: settings.origin_kind,
+            cold: settings.cold,
             keyed: settings.classes.iter().map(|c| c.effect == Effect::Keyed).collect(),
             core: RefCell::new(Core {
                 balancer: Balancer::new(settings, seed),
@@ -207,6 +214,7 @@
         let (job, attempts) = (Rc::new(job), Vec::new());
         let pending = Pending { id, keyed, job, terms, deadline, answer: Some(answer), attempts };
         core.pending.insert(id, pending);
+        account::count(Kind::Arrival, 1);
         self.feed(core, Event::Arrival(request));
         // With half of the margin left a request that the module has left unanswered is failed.
         let guard = Duration::from_nanos(patience - margin / 2);
@@ -236,8 +244,11 @@
             return;
         }
         attempt.made.ended(ended.status, ended.code);
+        attempt.status = Some(ended.status);
+        account::outcome(ended.status);
         if let Some(response) = ended.answer {
             if let Some(answer) = pending.answer.take() {
+                account::count(Kind::Served, 1);
                 let _ = answer.send(Answer::Served(response));
                 Self::bar(pending);
             }
@@ -304,7 +315,13 @@
         let number = pending.attempts.len();
         let left = pending.deadline.saturating_sub(now);
         if pending.answer.is_none() || left == 0 {
-            pending.attempts.push(Attempt { server, sent: now, out: None, made: Made::unsent() });
+            pending.attempts.push(Attempt {
+                server,
+                sent: now,
+                out: None,
+                made: Made::unsent(),
+                status: Some(Status::Moot),
+            });
             return Some(self.outcome(pending, number, Status::Moot, None));
         }
         let mut wait = if timeout == 0 { left } else { timeout.min(left) };
@@ -315,12 +332,25 @@
                 Some(allowed) => made = allowed,
                 None => {
                     let made = Made::unsent();
-                    pending.attempts.push(Attempt { server, sent: now, out: None, made });
+                    pending.attempts.push(Attempt {
+                        server,
+                        sent: now,
+                        out: None,
+                        made,
+                        status: Some(Status::Moot),
+                    });
                     return Some(self.outcome(pending, number, Status::Moot, None));
                 }
             }
             wait = terms.wait(wait);
         }
+        if account::on() {
+            let (kind, started) = self.upstreams.kind(server).unwrap_or_default();
+            let busy = pending.attempts.iter().any(|a| a.out.is_some());
+            let last = pending.attempts.last().and_then(|a| a.status);
+            let cold = started > 0 && now < started.saturating_add(self.cold);
+            account::attempt(busy, last, self.origin == Some(kind), cold);
+        }
         let (wait, importance) = (Duration::from_nanos(wait), pending.terms.as_ref().map(|t| t.importance));
         let (job, tether) = (pending.job.clone(), Rc::new(Tether::default()));
         let (upstreams, held, myself) = (self.upstreams.clone(), tether.clone(), self.myself.clone());
@@ -330,7 +360,13 @@
                 engine.ended(id, number, ended);
             }
         });
-        pending.attempts.push(Attempt { server, sent: now, out: Some((tether, task.abort_handle())), made });
+        pending.attempts.push(Attempt {
+            server,
+            sent: now,
+            out: Some((tether, task.abort_handle())),
+            made,
+            status: None,
+        });
         None
     }
 
@@ -342,6 +378,8 @@
         tether.cut();
         task.abort();
         attempt.made.ended(Status::Cancelled, 0);
+        attempt.status = Some(Status::Cancelled);
+        account::outcome(Status::Cancelled);
         let event = self.outcome(pending, number, Status::Cancelled, None);
         Self::forget(core, id);
         Some(event)
@@ -360,6 +398,7 @@
     fn answer(&self, core: &mut Core, id: RequestId, answer: Answer, events: &mut VecDeque<Event>) {
         let Some(pending) = core.pending.get_mut(&id) else { return };
         let Some(sender) = pending.answer.take() else { return };
+        account::unserved(&answer, pending.attempts.last().and_then(|a| a.status));
         // A client that has just gone needs none.
         let _ = sender.send(answer);
         Self::bar(pending);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The sockets' side of the proxy: it translates between the network and the decision module.
 
+pub mod account;
 pub mod config;
 pub mod control;
 mod discovery;
--- a/src/net/pools.rs
+++ b/src/net/pools.rs
@@ -251,6 +251,7 @@
     let idle = spec.idle.map_or_else(|| idle_most(settings.conn_idle), Duration::from_nanos);
     Bounds {
         connect_timeout: Duration::from_nanos(spec.connect_timeout),
+        proxies: settings.proxies,
         idle_most: idle.min(idle_most(settings.conn_idle).max(Duration::from_secs(1))),
         node_most: spec.node_connections,
         breakers,
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -66,6 +66,8 @@
 const TAKE_WITHIN: Duration = Duration::from_secs(2);
 /// A connection that has been without a request for so long is closed.
 const IDLE_MOST: Duration = Duration::from_secs(10);
+/// Idle connections to nodes are looked at so often.
+const SWEEP_EVERY: Duration = Duration::from_millis(250);
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 /// Descriptors that are no sockets of the budget: standard streams, the listener, the runtime's own, discovery's.
 const OWN_DESCRIPTORS: usize = 20 + discovery::DESCRIPTORS;
@@ -177,6 +179,7 @@
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
     let bound = listener.local_addr().map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
     super::log(format_args!("listening on {bound}"));
+    super::account::start();
     told(bound);
     // Danger: each connection may come to hold a body and what is read ahead of it. So many are taken as there is
     // room for, even if all of them do.
@@ -199,7 +202,7 @@
     let sweeper = front.clone();
     tokio::task::spawn_local(async move {
         loop {
-            sleep(Duration::from_secs(1)).await;
+            sleep(SWEEP_EVERY).await;
             sweeper.sweep();
         }
     });
@@ -234,7 +237,7 @@
 fn one(config: Config, descriptors: Rc<Descriptors>, mut hangup: Signal) -> Result<Front, String> {
     let discovery = config.discovery.ok_or("discovery is missing, and PROXY_DISCOVERY is not set")?;
     let settings = config.settings.clone();
-    let upstreams = Upstreams::new(descriptors, config.connect_timeout, settings.conn_idle);
+    let upstreams = Upstreams::new(descriptors, config.connect_timeout, &settings);
     let (watch, asked) = mpsc::unbounded_channel();
     let (subscription, known) = (control::Subscription::of(&config), config.known);
     let discovery =
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,14 +1,16 @@
 //! Connections to cache nodes and the origin, and one attempt on one of them with its outcome.
 
+use super::account::{self, Kind};
 use super::socket::{Descriptors, Io, Socket};
 use super::{Body, BODY_MOST, BUFFER_MOST};
-use crate::api::{Entry, Nanos, ServerId, State, Status};
+use crate::api::{Entry, Nanos, ServerId, Settings, State, Status};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
+use rushquay_fleet::Keep;
 use rushquay_pools::{Breakers, Importance, Trip};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
@@ -119,6 +121,7 @@
 
 struct Node {
     addr: Option<SocketAddr>,
+    kind: u32,
     started: Nanos,
     ready: bool,
     /// Counts what makes older connections useless: a restart, a new address, a drain.
@@ -148,6 +151,8 @@
     pub connect_timeout: Duration,
     /// Idle ones close after this time.
     pub idle_most: Duration,
+    /// How many proxies share the nodes' room for connections.
+    pub proxies: u32,
     /// Most to one node.
     pub node_most: u32,
     /// Limits on those that are open and that come up; `None`: the descriptors are the limit.
@@ -159,6 +164,8 @@
     nodes: RefCell<FxHashMap<ServerId, Node>>,
     descriptors: Rc<Descriptors>,
     bounds: RefCell<Bounds>,
+    /// For how long idle connections are kept, by machine kind: what one holds, another may not.
+    keeps: RefCell<FxHashMap<u32, Keep>>,
     open: Rc<Cell<u32>>,
     epochs: Cell<u64>,
     /// How many nodes take work. Danger: counted at each request, thousands that take none would slow them all.
@@ -176,22 +183,40 @@
 }
 
 impl Upstreams {
-    pub fn new(descriptors: Rc<Descriptors>, connect_timeout: Duration, conn_idle: Nanos) -> Rc<Self> {
-        let idle_most = idle_most(conn_idle);
-        Self::bounded(descriptors, Bounds { connect_timeout, idle_most, node_most: u32::MAX, breakers: None })
+    pub fn new(descriptors: Rc<Descriptors>, connect_timeout: Duration, settings: &Settings) -> Rc<Self> {
+        let (idle_most, proxies) = (idle_most(settings.conn_idle), settings.proxies);
+        let bounds = Bounds { connect_timeout, idle_most, proxies, node_most: u32::MAX, breakers: None };
+        Self::bounded(descriptors, bounds)
     }
 
     /// With bounds of its own.
     pub fn bounded(descriptors: Rc<Descriptors>, bounds: Bounds) -> Rc<Self> {
         let (nodes, open, epochs, ready) = Default::default();
-        Rc::new(Upstreams { nodes, descriptors, bounds: RefCell::new(bounds), open, epochs, ready })
+        let keeps = RefCell::default();
+        Rc::new(Upstreams { nodes, descriptors, bounds: RefCell::new(bounds), keeps, open, epochs, ready })
     }
 
     /// Other bounds for connections from now on.
     pub fn bound(&self, bounds: Bounds) {
+        let longest = bounds.idle_most.as_nanos() as Nanos;
+        self.keeps.borrow_mut().values_mut().for_each(|keep| keep.limit(longest));
         *self.bounds.borrow_mut() = bounds;
     }
 
+    /// Steers for how long idle connections to nodes of a kind are kept.
+    fn steer(&self, kind: u32, step: impl FnOnce(&mut Keep)) {
+        let bounds = self.bounds.borrow();
+        let first = || Keep::new(bounds.idle_most.as_nanos() as Nanos, bounds.proxies);
+        step(self.keeps.borrow_mut().entry(kind).or_insert_with(first));
+    }
+
+    /// For how long idle connections to nodes of a kind are kept now.
+    fn span(&self, kind: u32) -> Duration {
+        let mut span = 0;
+        self.steer(kind, |keep| span = keep.span());
+        Duration::from_nanos(span)
+    }
+
     /// Takes news of the list; `whole` when nodes that it does not name are gone.
     pub fn update(&self, whole: bool, entries: &[(Entry, Option<SocketAddr>)]) {
         let mut nodes = self.nodes.borrow_mut();
@@ -214,8 +239,8 @@
             let epoch = self.epochs.get();
             let (figures, grouped) = old.map(|n| (n.figures.clone(), n.grouped)).unwrap_or_default();
             // The idle connections of the old one close here.
-            let (addr, started, idle) = (*addr, entry.started, Vec::new());
-            nodes.insert(entry.server, Node { addr, started, ready, epoch, idle, grouped, figures });
+            let (addr, kind, started, idle) = (*addr, entry.kind, entry.started, Vec::new());
+            nodes.insert(entry.server, Node { addr, kind, started, ready, epoch, idle, grouped, figures });
         }
         self.ready.set(nodes.values().filter(|n| n.ready && n.addr.is_some()).count());
     }
@@ -241,6 +266,11 @@
         }
     }
 
+    /// A node's machine kind, and when it started.
+    pub fn kind(&self, server: ServerId) -> Option<(u32, Nanos)> {
+        self.nodes.borrow().get(&server).map(|n| (n.kind, n.started))
+    }
+
     /// What passed at a node.
     pub fn figures(&self, server: ServerId) -> Option<Rc<Figures>> {
         self.nodes.borrow().get(&server).map(|n| n.figures.clone())
@@ -270,9 +300,11 @@
 
     /// Closes idle connections that have ended or stood too long.
     pub fn sweep(&self) {
-        let most = self.bounds.borrow().idle_most;
-        let keep = |i: &Idle| i.since.elapsed() < most && !i.connection.sender.is_closed();
-        self.nodes.borrow_mut().values_mut().for_each(|n| n.idle.retain(keep));
+        for node in self.nodes.borrow_mut().values_mut().filter(|n| !n.idle.is_empty()) {
+            let (most, before) = (self.span(node.kind), node.idle.len());
+            node.idle.retain(|i| i.since.elapsed() < most && !i.connection.sender.is_closed());
+            account::count(Kind::ClosedIdle, (before - node.idle.len()) as u64);
+        }
     }
 
     /// Closes the connection that has been idle for longest, to free its descriptor; false if there is none.
@@ -330,7 +362,7 @@
         importance: Importance,
     ) -> Ended {
         loop {
-            let Some((addr, epoch)) = self.open_to(server) else { return Status::Moot.into() };
+            let Some((addr, kind, epoch)) = self.open_to(server) else { return Status::Moot.into() };
             let (mut connection, reused) = match self.newest(server) {
                 Some(connection) => (connection, true),
                 None => match self.connect(server, addr, importance).await {
@@ -346,7 +378,7 @@
             }
             // Danger: while the connection came up the node may have been told to drain or have restarted, or
             // the request may have had its answer. Nothing may be written then.
-            if tether.barred.get() || self.open_to(server).is_none_or(|(_, now)| now != epoch) {
+            if tether.barred.get() || self.open_to(server).is_none_or(|(_, _, now)| now != epoch) {
                 return Status::Moot.into();
             }
             connection.socket.begin(ANSWER_MOST);
@@ -362,7 +394,17 @@
                 }
                 return Status::ConnectFailed.into();
             };
-            let (ended, reusable) = read(response).await;
+            let closing = response.headers().get(CONNECTION).is_some_and(|v| v == "close");
+            let (mut ended, reusable) = read(response).await;
+            if !reused && ended.status == Status::Full && closing {
+                // Danger: a node whose table of connections is full closes a new one with such an answer, and serves
+                // those that it has. To be told so is to have no connection, which is not to meet a full queue.
+                account::count(Kind::TurnedAway, 1);
+                self.steer(kind, Keep::turned_away);
+                ended.status = Status::ConnectFailed;
+            } else if !reused {
+                self.steer(kind, Keep::taken);
+            }
             if reusable && connection.socket.whole() {
                 self.keep(server, epoch, connection);
             }
@@ -371,17 +413,17 @@
     }
 
     /// Where a node takes new work.
-    fn open_to(&self, server: ServerId) -> Option<(SocketAddr, u64)> {
+    fn open_to(&self, server: ServerId) -> Option<(SocketAddr, u32, u64)> {
         let nodes = self.nodes.borrow();
         let node = nodes.get(&server).filter(|n| n.ready)?;
-        Some((node.addr?, node.epoch))
+        Some((node.addr?, node.kind, node.epoch))
     }
 
     fn newest(&self, server: ServerId) -> Option<Connection> {
         let mut nodes = self.nodes.borrow_mut();
-        let idle = &mut nodes.get_mut(&server)?.idle;
-        let most = self.bounds.borrow().idle_most;
-        while let Some(i) = idle.pop() {
+        let node = nodes.get_mut(&server)?;
+        let most = self.span(node.kind);
+        while let Some(i) = node.idle.pop() {
             if i.since.elapsed() < most && i.connection.clean() {
                 return Some(i.connection);
             }
@@ -434,6 +476,8 @@
                 None => return Err(Status::Moot),
             }
         };
+        let first = figures.connections.get() == 1;
+        account::count(if first { Kind::HandshakeNew } else { Kind::HandshakeBusy }, 1);
         let connecting = tokio::time::timeout(timeout, TcpStream::connect(addr)).await;
         let Ok(Ok(stream)) = connecting else { return Err(Status::ConnectFailed) };
         let socket = Socket::new(stream, permit);
@@ -508,7 +552,7 @@
     #[tokio::test(flavor = "current_thread")]
     async fn a_lack_of_descriptors_is_not_the_nodes_fault() {
         let node = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-        let upstreams = Upstreams::new(Descriptors::new(0), Duration::from_secs(30), 0);
+        let upstreams = Upstreams::new(Descriptors::new(0), Duration::from_secs(30), &Settings::default());
         let entry = Entry { server: 1, ..Entry::default() };
         upstreams.update(true, &[(entry, node.local_addr().ok())]);
         let job =
