--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -529,6 +529,42 @@
     assert_eq!(client.answer().status(), 200);
 }
 
+#[test]
+fn a_list_that_breaks_off_or_is_no_sequel_leaves_the_old_one_standing() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    let mut node = None;
+    let mut serves = |what: &str| {
+        client.ask("read", "");
+        let node: &mut Peer = node.get_or_insert_with(|| r.cache.take());
+        node.request();
+        node.reply("200 OK", "X-Lookup: hit\r\n", "");
+        assert_eq!(client.answer().status(), 200, "{what}");
+    };
+    // Cut off in the middle of an entry, and what is no list: a failed call each, after which it asks again.
+    let gone = list(42, true, &[]).to_string();
+    for (what, text) in
+        [("cut off", r#"{"version":42,"full":true,"servers":[{"id":"c1","#), ("garbage", "\u{1}]}{")]
+    {
+        let mut watch = r.discovery.take();
+        assert!(watch.request().line.contains("from=41"), "{what}");
+        watch.reply("200 OK", "Connection: close\r\n", text);
+        serves(what);
+    }
+    // Emptied, and older: the whole list is asked for at once, and a good one goes on.
+    let mut watch = r.discovery.take();
+    assert!(watch.request().line.contains("from=41"));
+    watch.reply("200 OK", "", &gone);
+    assert!(!watch.request().line.contains("from="), "the whole list");
+    serves("emptied");
+    let whole = [member("c1", r.cache.addr, "std", "ready"), member("o1", r.origin.addr, "origin", "ready")];
+    watch.reply("200 OK", "", &list(43, true, &whole).to_string());
+    assert!(watch.request().line.contains("from=43"));
+    watch.reply("200 OK", "", &list(40, true, &[member("x", r.origin.addr, "std", "ready")]).to_string());
+    assert!(!watch.request().line.contains("from="), "the whole list");
+    serves("older");
+}
+
 #[test]
 fn a_list_of_version_0_is_watched_from_there() {
     let discovery = Server::new();
