Make an attempt's end and an unsent attempt one step each in the engine

Need: reading the change again found the same three lines at both places where an attempt ends, twice the same unsent attempt, and a comment on the held version that said something else. Change: Attempt::ended and Attempt::unsent; the comment. Behaviour stays as it is.

--- a/crates/nodes/src/cursor.rs
+++ b/crates/nodes/src/cursor.rs
@@ -6,8 +6,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Cursor {
     version: Option<u64>,
-    /// The version held when the whole list was last asked for again, because what came could not be a sequel to it.
+    /// The version of the list that is held, also while the whole list is asked for.
     held: Option<u64>,
+    /// The last answer was no sequel to it.
     doubted: bool,
 }
 
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -76,6 +76,20 @@
     status: Option<Status>,
 }
 
+impl Attempt {
+    /// One that was never sent.
+    fn unsent(server: ServerId, sent: Nanos) -> Self {
+        Attempt { server, sent, out: None, made: Made::unsent(), status: Some(Status::Moot) }
+    }
+
+    /// It has ended so; `code`: the status of its answer, or 0.
+    fn ended(&mut self, status: Status, code: u16) {
+        self.made.ended(status, code);
+        self.status = Some(status);
+        account::outcome(status);
+    }
+}
+
 struct Pending {
     id: RequestId,
     /// A repeat rests on a group that remembers it.
@@ -243,9 +257,7 @@
         if attempt.out.take().is_none() {
             return;
         }
-        attempt.made.ended(ended.status, ended.code);
-        attempt.status = Some(ended.status);
-        account::outcome(ended.status);
+        attempt.ended(ended.status, ended.code);
         if let Some(response) = ended.answer {
             if let Some(answer) = pending.answer.take() {
                 account::count(Kind::Served, 1);
@@ -315,13 +327,7 @@
         let number = pending.attempts.len();
         let left = pending.deadline.saturating_sub(now);
         if pending.answer.is_none() || left == 0 {
-            pending.attempts.push(Attempt {
-                server,
-                sent: now,
-                out: None,
-                made: Made::unsent(),
-                status: Some(Status::Moot),
-            });
+            pending.attempts.push(Attempt::unsent(server, now));
             return Some(self.outcome(pending, number, Status::Moot, None));
         }
         let mut wait = if timeout == 0 { left } else { timeout.min(left) };
@@ -331,14 +337,7 @@
             match terms.allow(earlier, pending.keyed, self.upstreams.grouped(server)) {
                 Some(allowed) => made = allowed,
                 None => {
-                    let made = Made::unsent();
-                    pending.attempts.push(Attempt {
-                        server,
-                        sent: now,
-                        out: None,
-                        made,
-                        status: Some(Status::Moot),
-                    });
+                    pending.attempts.push(Attempt::unsent(server, now));
                     return Some(self.outcome(pending, number, Status::Moot, None));
                 }
             }
@@ -377,9 +376,7 @@
         let (tether, task) = attempt.out.take()?;
         tether.cut();
         task.abort();
-        attempt.made.ended(Status::Cancelled, 0);
-        attempt.status = Some(Status::Cancelled);
-        account::outcome(Status::Cancelled);
+        attempt.ended(Status::Cancelled, 0);
         let event = self.outcome(pending, number, Status::Cancelled, None);
         Self::forget(core, id);
         Some(event)
