Answer operators on a thread of their own, with figures that count each end once

Change: crates/operate reads calls, gives waiting callers places, and holds the ledger: one entry a request, ended once by type, or gone when dropped; attempts counted at the flush that writes their last byte. src/net/admin.rs answers from atomics alone. Avoided nodes are asked of the decision module (`Balancer::avoided`); its initial values come from Default now, which frees twelve lines.

--- /dev/null
+++ b/crates/operate/tests/operate.rs
@@ -0,0 +1,145 @@
+//! Calls in every shape, and the ledger's one law under any order of events.
+
+use proptest::prelude::*;
+use rushquay_operate::{figures, Call, End, Entry, Ledger, Line, NotACall, Places, Standing, LINE_MOST};
+
+fn names(names: &[&str]) -> Vec<String> {
+    names.iter().map(|n| (*n).to_owned()).collect()
+}
+
+#[test]
+fn calls_are_read_and_everything_else_is_named() {
+    let whole = |line: &[u8]| Call::read(line, false);
+    for line in [&b"STATUS\n"[..], b"STATUS\r\n", b" STATUS \n"] {
+        assert_eq!(whole(line), Line::Whole(Ok(Call::Status)));
+    }
+    assert_eq!(whole(b"METRICS\n"), Line::Whole(Ok(Call::Metrics)));
+    for partial in [&b""[..], b"S", b"STATUS", b"STATUS\r"] {
+        assert_eq!(whole(partial), Line::Partial, "{partial:?}");
+    }
+    assert_eq!(Call::read(b"STATUS", true), Line::Whole(Err(NotACall::Cut)));
+    assert_eq!(whole(b"status\n"), Line::Whole(Err(NotACall::Unknown)));
+    assert_eq!(whole(b"\n"), Line::Whole(Err(NotACall::Unknown)));
+    assert_eq!(whole(b"STATUS\nSTATUS\n"), Line::Whole(Err(NotACall::More)));
+    assert_eq!(whole(b"\x16\x03\x01"), Line::Whole(Err(NotACall::Binary)));
+    assert_eq!(whole(b"STAT\0US\n"), Line::Whole(Err(NotACall::Binary)));
+    assert_eq!(whole(&[b'A'; LINE_MOST]), Line::Whole(Err(NotACall::Long)));
+    let mut long = vec![b'A'; LINE_MOST];
+    long.push(b'\n');
+    assert_eq!(whole(&long), Line::Whole(Err(NotACall::Long)));
+}
+
+#[test]
+fn a_true_caller_always_finds_a_place() {
+    let mut places = Places::new(3);
+    let mute: Vec<_> = (0..3).map(|_| places.come().0).collect();
+    let (caller, gives_way) = places.come();
+    assert_eq!(gives_way, Some(mute[0]), "whoever has waited for longest");
+    places.left(caller);
+    assert_eq!(places.waiting(), 2);
+    let (_, gives_way) = places.come();
+    assert_eq!(gives_way, None);
+    places.left(mute[0]);
+    assert_eq!(places.waiting(), 3, "one that was sent away leaves nothing behind");
+}
+
+#[test]
+fn figures_stand_a_line_each_and_end_with_a_dot() {
+    let ledger = Ledger::new(&names(&["read", "a\"b\\c\nd"]));
+    ledger.take(0).answered(End::Completed);
+    ledger.take(1).answered(End::Failed);
+    let _open = ledger.take(0);
+    ledger.attempts.one_more();
+    ledger.members.set(12);
+    ledger.unavailable.set(2);
+    let text = figures(&ledger);
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(
+        lines,
+        [
+            "proxy_completed{lane=\"read\"} 1",
+            "proxy_completed{lane=\"a\\\"b\\\\c\\nd\"} 0",
+            "proxy_rejected{lane=\"read\"} 0",
+            "proxy_rejected{lane=\"a\\\"b\\\\c\\nd\"} 0",
+            "proxy_failed{lane=\"read\"} 0",
+            "proxy_failed{lane=\"a\\\"b\\\\c\\nd\"} 1",
+            "proxy_upstream_requests 1",
+            "proxy_pending 1",
+            "proxy_members 12",
+            "proxy_members_unavailable 2",
+            "."
+        ]
+    );
+}
+
+#[test]
+fn a_process_stands_as_it_said_last() {
+    let ledger = Ledger::new(&[]);
+    assert_eq!(ledger.standing(), Standing::Starting);
+    for standing in [Standing::Serving, Standing::Draining, Standing::Starting] {
+        ledger.stand(standing);
+        assert_eq!(ledger.standing(), standing);
+    }
+}
+
+/// What may befall a request in any order.
+#[derive(Clone, Debug)]
+enum Step {
+    Take(usize),
+    Answer(usize, End),
+    Drop(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let end = prop_oneof![Just(End::Completed), Just(End::Rejected), Just(End::Failed)];
+    prop_oneof![
+        (0usize..4).prop_map(Step::Take),
+        (0usize..16, end).prop_map(|(n, end)| Step::Answer(n, end)),
+        (0usize..16).prop_map(Step::Drop),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Danger: a request counted twice, or not at all, makes the figures untrue for good.
+    #[test]
+    fn what_was_taken_is_pending_or_ended_once(steps in prop::collection::vec(step(), 0..200)) {
+        let ledger = Ledger::new(&names(&["a", "b", "c"]));
+        let mut open: Vec<(Entry, usize, Option<End>)> = Vec::new();
+        // By class and end, as a second book; class 3 is none that the ledger knows.
+        let mut ended = [[0u64; 3]; 3];
+        let (mut taken, mut gone) = (0, 0);
+        for step in steps {
+            match step {
+                Step::Take(class) => {
+                    taken += 1;
+                    open.push((ledger.take(class), class, None));
+                }
+                Step::Answer(n, end) => {
+                    if let Some((entry, _, said)) = open.get_mut(n) {
+                        entry.answered(end);
+                        *said = Some(end);
+                    }
+                }
+                Step::Drop(n) if n < open.len() => {
+                    let (entry, class, said) = open.swap_remove(n);
+                    drop(entry);
+                    match said {
+                        Some(end) if class < 3 => ended[class][end as usize] += 1,
+                        _ => gone += 1,
+                    }
+                }
+                Step::Drop(_) => {}
+            }
+            let all: u64 = ended.iter().flatten().sum();
+            prop_assert_eq!(ledger.taken(), all + gone + ledger.pending());
+            prop_assert_eq!((ledger.taken(), ledger.pending(), ledger.gone()), (taken, open.len() as u64, gone));
+            for (class, ends) in ended.iter().enumerate() {
+                for end in [End::Completed, End::Rejected, End::Failed] {
+                    prop_assert_eq!(ledger.ended(class, end), ends[end as usize]);
+                }
+            }
+        }
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -219,6 +219,7 @@
 }
 
 /// The decision module of one proxy.
+#[derive(Default)]
 pub struct Balancer {
     settings: Settings,
     random: u64,
@@ -280,39 +281,18 @@
         let scopes: Vec<usize> = settings.classes.iter().map(like).collect();
         let distinct = (0..scopes.len()).filter(|c| scopes[*c] == *c).collect();
         Balancer {
-            settings,
             random: seed,
-            by_id: FxHashMap::default(),
-            servers: Vec::new(),
-            free: Vec::new(),
-            version: 0,
-            total_weight: 0.0,
-            live: 0.0,
-            failing: 0.0,
-            subscribed: false,
-            asked: false,
-            failures: 0,
             ask_token: ASK,
-            buckets: FxHashMap::default(),
-            open: FxHashMap::default(),
             seen,
-            count: Fading::default(),
-            started: None,
-            inflight: 0.0,
             budget: 1.0,
-            served: Fading::default(),
             scopes,
             distinct,
-            unreached: 0.0,
-            origin_out: 0.0,
             origin_room: room,
-            origin_cut_at: 0,
-            origin_late: 0.0,
-            judged: Judged::default(),
-            usual_worth: 0.0,
             taken: 1.0,
             extra: 1.0,
             share_left,
+            settings,
+            ..Balancer::default()
         }
     }
 
@@ -611,6 +591,15 @@
         self.by_id.get(&server).is_none_or(|&i| self.servers[i as usize].suspect_until > now)
     }
 
+    /// How many cache nodes the list names, and how many of these are sent nothing now, but for trials.
+    pub fn avoided(&self, now: Nanos) -> (usize, usize) {
+        let nodes = self.by_id.values().map(|&i| &self.servers[i as usize]).filter(|s| !self.is_origin(s));
+        nodes.fold((0, 0), |(listed, avoided), s| {
+            let avoid = s.entry.state != State::Ready || s.suspect_until > now;
+            (listed + 1, avoided + usize::from(avoid))
+        })
+    }
+
     // ---- cold ramp ----
 
     /// The part of its capacity that a server surely has by now.
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -9,6 +9,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Where operators call; off without it.
+const ADMIN: &str = "PROXY_ADMIN_ADDR";
 const DISCOVERY: &str = "PROXY_DISCOVERY";
 /// Names the file that switches the subscription to a control service on.
 pub const CONTROL: &str = "PROXY_CONTROL";
@@ -26,6 +28,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call; `None`: nowhere.
+    pub admin: Option<SocketAddr>,
     /// Discovery's address; needed unless clusters come in Envoy's form.
     pub discovery: Option<SocketAddr>,
     /// For random numbers, new with each start.
@@ -135,6 +139,10 @@
             (Err(_), Some(_)) => None,
             (Err(e), None) => return Err(e),
         };
+        let admin = match (variable(ADMIN), root.get("admin_addr").filter(|a| !a.is_null())) {
+            (None, None) => None,
+            _ => Some(address(ADMIN, "admin_addr")?),
+        };
         let told = root.get("settings").filter(|s| s.is_object()).ok_or("settings is missing")?;
         let mut pairs = Vec::new();
         flatten("", told, &mut pairs);
@@ -197,6 +205,7 @@
             control,
             envoy,
             listen,
+            admin,
             discovery,
             seed,
             sockets,
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -10,6 +10,7 @@
 use hyper::body::Bytes;
 use hyper::Response;
 use rushquay_nodes::{Member, Pins};
+use rushquay_operate::End;
 use rustc_hash::FxHashMap;
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -57,6 +58,17 @@
     Overdue,
 }
 
+impl Answer {
+    /// How the request ends with it.
+    pub fn end(&self) -> End {
+        match self {
+            Answer::Served(_) => End::Completed,
+            Answer::Refused(_) => End::Rejected,
+            Answer::Failed | Answer::Overdue => End::Failed,
+        }
+    }
+}
+
 /// What a client asks for, in the module's terms; its id is given on arrival.
 pub struct Asked {
     pub request: Request,
@@ -187,6 +199,11 @@
         self.core.borrow().pending.len()
     }
 
+    /// How many cache nodes are listed, and how many of them the module avoids now.
+    pub fn members(&self) -> (usize, usize) {
+        self.core.borrow().balancer.avoided(self.clock.now())
+    }
+
     /// Whether a request could be served now.
     pub fn can_serve(&self) -> bool {
         self.upstreams.any_ready()
--- a/src/net/envoy/mod.rs
+++ b/src/net/envoy/mod.rs
@@ -130,6 +130,7 @@
     use crate::api::Settings;
     use crate::net::config::Names;
     use crate::net::socket::Descriptors;
+    use rushquay_operate::Ledger;
     use std::net::IpAddr;
     use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -171,7 +172,8 @@
                 resources_most: 10,
                 answer_most: 1 << 20,
             };
-            let pools = Pools::new(Settings::default(), Names::default(), 1, Descriptors::new(10));
+            let pools =
+                Pools::new(Settings::default(), Names::default(), 1, Descriptors::new(10), Ledger::new(&[]));
             let ips =
                 |list: &[&str]| list.iter().map(|ip| ip.parse().expect("an address")).collect::<Vec<_>>();
             let answers: Answers = Arc::new(Mutex::new(Ok(ips(&["127.0.0.1", "127.0.0.2", "::1"]))));
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -23,6 +23,14 @@
         }
     }
 
+    /// How many cache nodes are listed, and how many of them are avoided now.
+    pub fn members(&self) -> (usize, usize) {
+        match self {
+            Front::One { engine, .. } => engine.members(),
+            Front::Pools(pools) => pools.members(),
+        }
+    }
+
     /// Closes the connection to a node that has been idle for longest; false if there is none.
     pub fn yield_idle(&self) -> bool {
         match self {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,8 @@
 //! The sockets' side of the proxy: it translates between the network and the decision module.
 
 pub mod account;
+mod admin;
+mod asking;
 pub mod config;
 pub mod control;
 mod discovery;
--- a/src/net/pools.rs
+++ b/src/net/pools.rs
@@ -8,6 +8,7 @@
 use crate::api::{server_id, Entry, ListKind, Nanos, ServerId, Settings, State};
 use rushquay_envoy::catalogue::{Batch, Spec, Split};
 use rushquay_nodes::{Member, NodeState};
+use rushquay_operate::Ledger;
 use rushquay_pools::{Breakers, Node, Overload, Standing};
 use rushquay_routes::Table;
 use rustc_hash::FxHashMap;
@@ -70,6 +71,7 @@
     names: Rc<Names>,
     seed: u64,
     descriptors: Rc<Descriptors>,
+    ledger: Arc<Ledger>,
     clusters: RefCell<HashMap<Arc<str>, Rc<Cluster>>>,
     splits: RefCell<HashMap<Arc<str>, Split>>,
     table: RefCell<Option<Arc<Table>>>,
@@ -80,13 +82,20 @@
 }
 
 impl Pools {
-    pub fn new(settings: Settings, names: Names, seed: u64, descriptors: Rc<Descriptors>) -> Rc<Self> {
+    pub fn new(
+        settings: Settings,
+        names: Names,
+        seed: u64,
+        descriptors: Rc<Descriptors>,
+        ledger: Arc<Ledger>,
+    ) -> Rc<Self> {
         let (sender, receiver) = mpsc::unbounded_channel();
         Rc::new(Pools {
             settings: Settings { must_ask: false, ..settings },
             names: Rc::new(names),
             seed,
             descriptors,
+            ledger,
             clusters: RefCell::default(),
             splits: RefCell::default(),
             table: RefCell::default(),
@@ -125,6 +134,13 @@
         groups.all(|g| Some(g) == first)
     }
 
+    /// How many cache nodes all clusters list, and how many of them are avoided now.
+    pub fn members(&self) -> (usize, usize) {
+        let clusters = self.clusters.borrow();
+        let each = clusters.values().map(|c| c.engine.members());
+        each.fold((0, 0), |(listed, avoided), (l, a)| (listed + l, avoided + a))
+    }
+
     /// Whether a request could be served now.
     pub fn can_serve(&self) -> bool {
         self.table.borrow().is_some() && self.clusters.borrow().values().any(|c| c.engine.can_serve())
@@ -195,7 +211,7 @@
     fn start(&self, spec: &Spec) -> Rc<Cluster> {
         let breakers = spec.limits.map(Breakers::new);
         let bounds = bounds(spec, &self.settings, breakers.clone());
-        let upstreams = Upstreams::bounded(self.descriptors.clone(), bounds);
+        let upstreams = Upstreams::bounded(self.descriptors.clone(), self.ledger.clone(), bounds);
         // Each cluster's chances are its own.
         let seed = self.seed ^ server_id(&spec.name);
         let watch = self.unasked.0.clone();
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,27 +1,28 @@
 //! The listener, clients' connections and requests, their answers, and the drain.
 
+use super::admin::{self, Operators};
+use super::asking::{asked, bad, class_of, closing, plain, respond_with, CORRELATION_ID};
 use super::config::Config;
 use super::control;
 use super::discovery::{self, Discovery};
-use super::engine::{Answer, Asked, Engine, Ticket};
+use super::engine::{Engine, Ticket};
 use super::envoy;
 use super::front::Front;
 use super::gate::{Gate, Seen};
 use super::nodes::NodeList;
 use super::pools::Pools;
-use super::routed::{Forward, Routed};
+use super::routed::Routed;
 use super::socket::{Descriptors, Permit, Socket};
-use super::upstream::{Job, Upstreams, TIME_LEFT};
+use super::upstream::Upstreams;
 use super::{Body, BODY_MOST, BUFFER_MOST};
-use crate::api::{self, Effect, Nanos};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body as _, Bytes, Incoming};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::http::request::Parts;
+use crate::api;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Version};
+use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::TokioIo;
+use rushquay_operate::{End, Ledger, Standing};
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::convert::Infallible;
@@ -29,29 +30,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, Notify};
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
-const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
-const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
-const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
-const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
-/// Headers that belong to one connection and do not go on.
-const HOP_BY_HOP: [HeaderName; 8] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::EXPECT,
-];
-/// An id is at most this long.
-const ID_MOST: usize = 128;
 /// A connection that has asked nothing for so long since it came, whatever part of a head it sent, is closed.
 const ASK_WITHIN: Duration = Duration::from_secs(2);
 /// Within this time a new connection is expected to ask.
@@ -150,6 +135,7 @@
     /// The ids of all requests that lack their answer. Their hash is keyed, since clients choose them.
     ids: RefCell<HashSet<HeaderValue>>,
     left: Notify,
+    ledger: Arc<Ledger>,
 }
 
 /// A request's id, taken while its answer is due.
@@ -181,23 +167,30 @@
     super::log(format_args!("listening on {bound}"));
     super::account::start();
     told(bound);
+    let ledger = Ledger::new(&config.names.classes);
+    let operators = config.admin.map(|admin| Operators::start(admin, ledger.clone())).transpose()?;
+    if let Some(operators) = &operators {
+        super::log(format_args!("operators at {}", operators.addr));
+    }
     // Danger: each connection may come to hold a body and what is read ahead of it. So many are taken as there is
     // room for, even if all of them do.
     let room = config.memory.saturating_sub(OWN_MEMORY) / (BODY_MOST + 2 * BUFFER_MOST);
     let own = OWN_DESCRIPTORS
         + config.control.as_ref().map_or(0, |_| control::DESCRIPTORS)
-        + config.envoy.as_ref().map_or(0, |_| envoy::DESCRIPTORS);
+        + config.envoy.as_ref().map_or(0, |_| envoy::DESCRIPTORS)
+        + operators.as_ref().map_or(0, |_| admin::DESCRIPTORS);
     let descriptors = Descriptors::new(config.sockets.saturating_sub(own).min(room).max(8));
     let clients_most = descriptors.free() / 2;
     let settings = config.settings.clone();
     let front = match config.envoy.clone() {
         Some(source) => {
-            let pools = Pools::new(settings.clone(), config.names, config.seed, descriptors.clone());
+            let pools =
+                Pools::new(settings.clone(), config.names, config.seed, descriptors.clone(), ledger.clone());
             let me = envoy::Me { name: config.name, seed: config.seed, listen: bound };
             envoy::follow(source, pools.clone(), me)?;
             Front::Pools(pools)
         }
-        None => one(config, descriptors.clone(), hangup)?,
+        None => one(config, descriptors.clone(), ledger.clone(), hangup)?,
     };
     let sweeper = front.clone();
     tokio::task::spawn_local(async move {
@@ -215,13 +208,16 @@
         clients: RefCell::default(),
         ids: RefCell::default(),
         left: Notify::new(),
+        ledger: ledger.clone(),
     });
+    server.tell_operators();
     let watched = server.clone();
     tokio::task::spawn_local(async move {
         loop {
             sleep(LOOK_EVERY).await;
             let now = Instant::now();
             watched.clients.borrow().iter().for_each(|c| c.look(now));
+            watched.tell_operators();
         }
     });
     tokio::select! {
@@ -234,10 +230,15 @@
 }
 
 /// One decision module on the list of the proxy's own discovery, with a control service's where one is subscribed to.
-fn one(config: Config, descriptors: Rc<Descriptors>, mut hangup: Signal) -> Result<Front, String> {
+fn one(
+    config: Config,
+    descriptors: Rc<Descriptors>,
+    ledger: Arc<Ledger>,
+    mut hangup: Signal,
+) -> Result<Front, String> {
     let discovery = config.discovery.ok_or("discovery is missing, and PROXY_DISCOVERY is not set")?;
     let settings = config.settings.clone();
-    let upstreams = Upstreams::new(descriptors, config.connect_timeout, &settings);
+    let upstreams = Upstreams::new(descriptors, ledger, config.connect_timeout, &settings);
     let (watch, asked) = mpsc::unbounded_channel();
     let (subscription, known) = (control::Subscription::of(&config), config.known);
     let discovery =
@@ -264,6 +265,18 @@
 }
 
 impl Server {
+    /// Brings what operators read up to date where it changes by itself, with time.
+    fn tell_operators(&self) {
+        let (listed, avoided) = self.front.members();
+        self.ledger.members.set(listed as u64);
+        self.ledger.unavailable.set(avoided as u64);
+        self.ledger.stand(match self.draining.get() {
+            true => Standing::Draining,
+            false if self.front.can_serve() => Standing::Serving,
+            false => Standing::Starting,
+        });
+    }
+
     async fn accept_all(self: &Rc<Self>, listener: &TcpListener) -> Infallible {
         loop {
             let accepted = listener.accept().await;
@@ -386,6 +399,7 @@
     async fn drain(self: &Rc<Self>, listener: TcpListener) {
         super::log("draining");
         self.draining.set(true);
+        self.tell_operators();
         let start = Instant::now();
         let mut until = start + ACCEPT_FOR;
         while let Ok(accepted) = timeout_at(until.min(start + ACCEPT_MOST), listener.accept()).await {
@@ -427,9 +441,16 @@
             (Front::One { engine, .. }, None) => engine,
             (Front::Pools(_), None) => return plain(StatusCode::NOT_FOUND, "no such route"),
         };
-        let asked = match self.asked(engine, head, body, forward.as_deref()).await {
+        let name = class_of(&head, forward.as_deref());
+        let Some(class) = engine.names().classes.iter().position(|c| c == name) else {
+            return bad(StatusCode::NOT_FOUND, "no such class");
+        };
+        let read = asked(&self.settings.classes[class], class, engine, head, body, forward.as_deref()).await;
+        let mut entry = self.ledger.take(class);
+        let asked = match read {
             Ok(asked) => asked,
             Err((status, why)) => {
+                entry.answered(End::Failed);
                 let mut response = bad(status, why);
                 if status == StatusCode::METHOD_NOT_ALLOWED {
                     response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, PUT"));
@@ -441,13 +462,17 @@
         // somebody else's, and must not disturb the first.
         let id = asked.job.headers[CORRELATION_ID].clone();
         if !self.ids.borrow_mut().insert(id.clone()) {
+            entry.answered(End::Failed);
             return bad(StatusCode::CONFLICT, "a request with this X-Correlation-Id is open");
         }
         let _open = OpenId { server: self, id };
         let mut ticket: Ticket = engine.arrive(asked);
         let mut response = tokio::select! {
             biased;
-            answer = ticket.answer() => respond_with(answer),
+            answer = ticket.answer() => {
+                entry.answered(answer.end());
+                respond_with(answer)
+            }
             // Nobody is left to read this.
             () = socket.hung_up(may_ask) => plain(StatusCode::BAD_GATEWAY, "the client has gone"),
         };
@@ -456,174 +481,4 @@
         }
         response
     }
-
-    /// Reads a request into the module's terms, or says what is wrong with it.
-    async fn asked(
-        &self,
-        engine: &Engine,
-        head: Parts,
-        body: Incoming,
-        forward: Option<&Forward>,
-    ) -> Result<Asked, (StatusCode, &'static str)> {
-        let mut parts = head.uri.path().strip_prefix('/').unwrap_or("").split('/');
-        let first = parts.next().unwrap_or("");
-        let name = forward.and_then(|f| f.class.as_deref()).unwrap_or(first);
-        let class = engine.names().classes.iter().position(|c| c == name);
-        let class = class.ok_or((StatusCode::NOT_FOUND, "no such class"))?;
-        let write = match head.method {
-            Method::GET => false,
-            Method::PUT => true,
-            _ => return Err((StatusCode::METHOD_NOT_ALLOWED, "only GET and PUT")),
-        };
-        let settings = &self.settings.classes[class];
-        let only = |name: &HeaderName, why| match head.headers.get_all(name).iter().count() {
-            0 => Ok(None),
-            1 => Ok(head.headers.get(name)),
-            _ => Err((StatusCode::BAD_REQUEST, why)),
-        };
-        let patience = match only(&TIME_LEFT, "more than one X-Time-Left")? {
-            None => settings.deadline,
-            // Danger: what is kept for a request is kept for so long.
-            Some(told) => {
-                time_left(told).ok_or((StatusCode::BAD_REQUEST, "bad X-Time-Left"))?.min(settings.deadline)
-            }
-        };
-        let patience = forward.and_then(|f| f.timeout).map_or(patience, |most| patience.min(most));
-        let id = only(&CORRELATION_ID, "more than one X-Correlation-Id")?;
-        if !id.is_some_and(well_formed) {
-            return Err((StatusCode::BAD_REQUEST, "no X-Correlation-Id, or a bad one"));
-        }
-        let key_of_repeats = only(&IDEMPOTENCY_KEY, "more than one Idempotency-Key")?;
-        if write && settings.effect == Effect::Keyed && key_of_repeats.is_none_or(|k| k.is_empty()) {
-            return Err((StatusCode::BAD_REQUEST, "no Idempotency-Key"));
-        }
-        let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB");
-        if body.size_hint().lower() > BODY_MOST as u64 {
-            return Err(too_large);
-        }
-        // Danger: a client that stalls in the midst of its body would keep its connection, which counts as busy.
-        let within = Duration::from_nanos(patience).min(COME_WITHIN);
-        let read = timeout(within, Limited::new(body, BODY_MOST).collect()).await;
-        let read = read.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))?;
-        let body = read.map(|b| b.to_bytes()).map_err(|e| match e.is::<LengthLimitError>() {
-            true => too_large,
-            false => (StatusCode::BAD_REQUEST, "the body is broken"),
-        })?;
-        let tenant = head.headers.get(ACCOUNT).and_then(|a| a.to_str().ok());
-        let tenant = tenant.and_then(|a| engine.names().tenants.iter().position(|t| t == a));
-        let key_text = parts.next_back().filter(|k| !k.is_empty());
-        let request = api::Request {
-            id: 0,
-            class: class as u32,
-            tenant: tenant.map(|t| t as u32),
-            key: key_text.map(key),
-            pinned: key_text.and_then(|k| engine.pinned(name, k)),
-            remaining: patience,
-            write,
-            retry: head.headers.get(REPEAT).is_some_and(|v| v == "1"),
-        };
-        let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
-        let uri = path.parse().map_err(|_| (StatusCode::BAD_REQUEST, "bad path"))?;
-        let mut headers = head.headers;
-        strip(&mut headers);
-        // The body is passed on with the length that it has.
-        headers.remove(header::CONTENT_LENGTH);
-        let terms = forward.map(|f| f.terms.clone());
-        Ok(Asked { request, job: Job { method: head.method, uri, headers, body }, terms })
-    }
-}
-
-/// An id is printable and has no blanks: anything else may be read otherwise by who it is passed on to.
-fn well_formed(id: &HeaderValue) -> bool {
-    (1..=ID_MOST).contains(&id.len()) && id.as_bytes().iter().all(u8::is_ascii_graphic)
-}
-
-/// Seconds with decimals, as nanoseconds.
-fn time_left(told: &HeaderValue) -> Option<Nanos> {
-    let text = told.to_str().ok()?.trim();
-    let plain = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
-    let seconds: f64 = text.parse().ok().filter(|_| plain)?;
-    Some((seconds.min(3600.0) * 1e9) as Nanos)
-}
-
-/// A key as a number: hex as on the simulator's wire, anything else hashed.
-pub(super) fn key(text: &str) -> u64 {
-    let hex = (text.len() == 16).then(|| u64::from_str_radix(text, 16).ok());
-    hex.flatten().unwrap_or_else(|| api::server_id(text))
-}
-
-/// Takes out what belongs to one connection alone.
-fn strip(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&HOP_BY_HOP) {
-        headers.remove(name);
-    }
-}
-
-pub(super) fn respond_with(answer: Answer) -> Response<Body> {
-    match answer {
-        Answer::Served(response) => {
-            let (mut head, body) = response.into_parts();
-            strip(&mut head.headers);
-            // Danger: hyper believes a length that stands here; the body held has one of its own.
-            head.headers.remove(header::CONTENT_LENGTH);
-            head.version = Version::HTTP_11;
-            Response::from_parts(head, Body::new(body))
-        }
-        Answer::Refused(wait) => {
-            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
-            if !wait.is_zero() {
-                if let Ok(advice) = HeaderValue::try_from(format!("{:.3}", wait.as_secs_f64())) {
-                    response.headers_mut().insert(header::RETRY_AFTER, advice);
-                }
-            }
-            response
-        }
-        Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed"),
-        Answer::Overdue => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
-    }
-}
-
-/// Turns away what is malformed or too large. Danger: a client that sends the like again and again on one connection
-/// costs more than one that has to connect for it; and what follows on it may be the rest of this one.
-fn bad(status: StatusCode, why: &'static str) -> Response<Body> {
-    let mut response = plain(status, why);
-    closing(&mut response);
-    response
-}
-
-fn closing(response: &mut Response<Body>) {
-    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-}
-
-pub(super) fn plain(status: StatusCode, text: &'static str) -> Response<Body> {
-    let mut response = Response::new(Body::new(Bytes::from_static(text.as_bytes())));
-    *response.status_mut() = status;
-    response
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn advice_to_wait_reaches_the_client_as_seconds() {
-        for (wait, advice) in [(1500, Some("1.500")), (0, None)] {
-            let answer = respond_with(Answer::Refused(Duration::from_millis(wait)));
-            let told = answer.headers().get(header::RETRY_AFTER).and_then(|v| v.to_str().ok());
-            assert_eq!((answer.status(), told), (StatusCode::SERVICE_UNAVAILABLE, advice));
-        }
-    }
-
-    #[test]
-    fn a_key_is_read_as_the_simulator_reads_it() {
-        assert_eq!(key("7f3a9c21e0b4d655"), 0x7f3a_9c21_e0b4_d655);
-        assert_ne!(key("boiler-7"), key("boiler-8"));
-    }
 }
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -1,12 +1,14 @@
 //! One TCP stream under hyper: what has been written to it, whether its peer has gone, and the budget of
 //! descriptors that all streams share.
 
+use rushquay_operate::Ledger;
 use socket2::SockRef;
 use std::cell::Cell;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
@@ -61,11 +63,22 @@
     stalled: Cell<bool>,
     /// So many more bytes may come.
     room: Cell<usize>,
+    /// Where messages that have been written whole are counted.
+    ledger: Option<Arc<Ledger>>,
     _permit: Permit,
 }
 
 impl Socket {
     pub fn new(stream: TcpStream, permit: Permit) -> Rc<Self> {
+        Self::made(stream, permit, None)
+    }
+
+    /// One whose messages are attempts at nodes.
+    pub fn counted(stream: TcpStream, permit: Permit, ledger: Arc<Ledger>) -> Rc<Self> {
+        Self::made(stream, permit, Some(ledger))
+    }
+
+    fn made(stream: TcpStream, permit: Permit, ledger: Option<Arc<Ledger>>) -> Rc<Self> {
         // Without it a small answer waits for the acknowledgement of the one before.
         let _ = stream.set_nodelay(true);
         Rc::new(Socket {
@@ -74,6 +87,7 @@
             whole: Cell::new(false),
             stalled: Cell::new(false),
             room: Cell::new(usize::MAX),
+            ledger,
             _permit: permit,
         })
     }
@@ -194,7 +208,9 @@
     fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         // Hyper flushes the stream once its own buffer, which holds the whole message, is empty.
         self.0.stalled.set(false);
-        self.0.whole.set(self.0.begun.get());
+        if self.0.begun.get() && !self.0.whole.replace(true) {
+            self.0.ledger.iter().for_each(|l| l.attempts.one_more());
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -13,11 +13,13 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use rushquay_fleet::Keep;
+use rushquay_operate::Ledger;
 use rushquay_pools::{Breakers, Importance, Trip};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -167,6 +169,7 @@
 pub struct Upstreams {
     nodes: RefCell<FxHashMap<ServerId, Node>>,
     descriptors: Rc<Descriptors>,
+    ledger: Arc<Ledger>,
     bounds: RefCell<Bounds>,
     /// For how long idle connections are kept, by machine kind: what one holds, another may not.
     keeps: RefCell<FxHashMap<u32, Keep>>,
@@ -187,17 +190,31 @@
 }
 
 impl Upstreams {
-    pub fn new(descriptors: Rc<Descriptors>, connect_timeout: Duration, settings: &Settings) -> Rc<Self> {
+    pub fn new(
+        descriptors: Rc<Descriptors>,
+        ledger: Arc<Ledger>,
+        connect_timeout: Duration,
+        settings: &Settings,
+    ) -> Rc<Self> {
         let (idle_most, proxies) = (idle_most(settings.conn_idle), settings.proxies);
         let bounds = Bounds { connect_timeout, idle_most, proxies, node_most: u32::MAX, breakers: None };
-        Self::bounded(descriptors, bounds)
+        Self::bounded(descriptors, ledger, bounds)
     }
 
     /// With bounds of its own.
-    pub fn bounded(descriptors: Rc<Descriptors>, bounds: Bounds) -> Rc<Self> {
+    pub fn bounded(descriptors: Rc<Descriptors>, ledger: Arc<Ledger>, bounds: Bounds) -> Rc<Self> {
         let (nodes, open, epochs, ready) = Default::default();
         let keeps = RefCell::default();
-        Rc::new(Upstreams { nodes, descriptors, bounds: RefCell::new(bounds), keeps, open, epochs, ready })
+        Rc::new(Upstreams {
+            nodes,
+            descriptors,
+            ledger,
+            bounds: RefCell::new(bounds),
+            keeps,
+            open,
+            epochs,
+            ready,
+        })
     }
 
     /// Other bounds for connections from now on.
@@ -487,7 +504,7 @@
         account::count(if first { Kind::HandshakeNew } else { Kind::HandshakeBusy }, 1);
         let connecting = tokio::time::timeout(timeout, TcpStream::connect(addr)).await;
         let Ok(Ok(stream)) = connecting else { return Err(Status::ConnectFailed) };
-        let socket = Socket::new(stream, permit);
+        let socket = Socket::counted(stream, permit, self.ledger.clone());
         // Danger: by default hyper reads a head of some 400 KB before it gives up.
         let shaken =
             http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(TokioIo::new(Io(socket.clone())));
@@ -559,7 +576,8 @@
     #[tokio::test(flavor = "current_thread")]
     async fn a_lack_of_descriptors_is_not_the_nodes_fault() {
         let node = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-        let upstreams = Upstreams::new(Descriptors::new(0), Duration::from_secs(30), &Settings::default());
+        let (none, ledger) = (Descriptors::new(0), Ledger::new(&[]));
+        let upstreams = Upstreams::new(none, ledger, Duration::from_secs(30), &Settings::default());
         let entry = Entry { server: 1, ..Entry::default() };
         upstreams.update(true, &[(entry, node.local_addr().ok())]);
         let job =
