Hand the listening socket and the node list to a new version under load

Change: crates/handover decides what old and new say, who gives way and how descriptors and memory are divided; src/net/handover.rs carries it through a Unix socket in $TMPDIR with SCM_RIGHTS, src/net/listening.rs binds, alone or beside (SO_REUSEPORT) where nobody can be asked. The new one accepts once it can serve. An old one that has a successor stops accepting, closes at answers, and ends what stays idle last; what it takes while it drains is given no more time than it has left itself.

Ruled out: SO_REUSEPORT alone (an old queue that closes resets what waits in it); handing over learned windows and pins (the hash gives the new process the same candidates, where the copies are).

--- /dev/null
+++ b/crates/handover/src/holder.rs
@@ -0,0 +1,111 @@
+//! The old side: the process that listens, and may have to hand that on.
+
+use crate::{Share, ToNew, ToOld, FORMS};
+use serde_json::Value;
+
+/// A connection of a process that wants to take over; its number is never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Peer(pub u64);
+
+/// What to say to a new process.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// This, with the listening socket.
+    WithListener(ToNew),
+    /// This alone, and then the connection ends.
+    Only(ToNew),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Alone,
+    Offered(Peer),
+    /// The new process serves.
+    Succeeded(Peer),
+}
+
+/// The process that listens.
+#[derive(Debug)]
+pub struct Holder {
+    whole: Share,
+    state: State,
+    /// What it may hold while the process before it still runs.
+    beside: Option<Share>,
+    /// It listens no more.
+    closed: bool,
+}
+
+impl Holder {
+    /// With the limits of the whole proxy.
+    pub fn new(whole: Share) -> Self {
+        Holder { whole, state: State::Alone, beside: None, closed: false }
+    }
+
+    /// One that holds so much while the process runs that it takes over from.
+    pub fn beside(whole: Share, share: Share) -> Self {
+        Holder { beside: Some(share), ..Holder::new(whole) }
+    }
+
+    /// The process before it has ended.
+    pub fn alone(&mut self) {
+        self.beside = None;
+    }
+
+    /// What this process may hold now.
+    pub fn share(&self) -> Share {
+        match (self.state, self.beside) {
+            (State::Alone, Some(share)) => share,
+            (State::Alone, None) => self.whole,
+            (State::Offered(_) | State::Succeeded(_), _) => self.whole.kept(),
+        }
+    }
+
+    /// Whether a new process serves in its place, so that it need not accept any more.
+    pub fn succeeded(&self) -> bool {
+        matches!(self.state, State::Succeeded(_))
+    }
+
+    /// A process has said something; `held`: descriptors that this one holds; `list`: its node list. `None`: nothing is to be
+    /// said.
+    pub fn said(&mut self, by: Peer, what: &ToOld, held: usize, list: Value) -> Option<Reply> {
+        match what {
+            ToOld::Hello { forms } => Some(self.hello(by, forms, held, list)),
+            ToOld::Ready => {
+                // One that was not offered anything can't take over.
+                if self.state == State::Offered(by) {
+                    self.state = State::Succeeded(by);
+                }
+                None
+            }
+        }
+    }
+
+    fn hello(&mut self, by: Peer, forms: &[u32], held: usize, list: Value) -> Reply {
+        let Some(form) = FORMS.into_iter().filter(|f| forms.contains(f)).max() else {
+            return Reply::Only(ToNew::Unknown { forms: FORMS.to_vec() });
+        };
+        if self.closed {
+            return Reply::Only(ToNew::Unknown { forms: Vec::new() });
+        }
+        // Danger: two new processes that each hold the other half, and the old one its own, are over the limits.
+        if self.state != State::Alone || self.beside.is_some() {
+            return Reply::Only(ToNew::Busy);
+        }
+        self.state = State::Offered(by);
+        let Share { sockets, memory } = self.whole.beside(self.whole.kept(), held);
+        Reply::WithListener(ToNew::Offer { form, sockets, memory, list })
+    }
+
+    /// This process has been told to end and listens no more. Danger: a socket that it hands on from then on may be closed
+    /// already.
+    pub fn close(&mut self) {
+        self.closed = true;
+    }
+
+    /// The connection of a process has ended. Danger: one that dies before its yes must leave all as it was.
+    pub fn lost(&mut self, peer: Peer) {
+        if matches!(self.state, State::Offered(p) | State::Succeeded(p) if p == peer) {
+            self.state = State::Alone;
+        }
+    }
+}
--- /dev/null
+++ b/crates/handover/tests/handover.rs
@@ -0,0 +1,197 @@
+//! Old and new process in every order of events: the limits hold together, and there is at most one successor.
+
+use proptest::prelude::*;
+use rushquay_handover::{
+    BadMessage, Claimant, Heard, Holder, Offer, Peer, Reply, Share, Step, ToNew, ToOld, Trouble, FORMS,
+    MESSAGE_MOST,
+};
+use serde_json::{json, Value};
+
+const WHOLE: Share = Share { sockets: 384, memory: 48 << 20 };
+
+fn hello() -> ToOld {
+    Claimant::default().hello()
+}
+
+fn offered(reply: Option<Reply>) -> Share {
+    match reply {
+        Some(Reply::WithListener(ToNew::Offer { sockets, memory, .. })) => Share { sockets, memory },
+        other => panic!("no offer: {other:?}"),
+    }
+}
+
+#[test]
+fn the_budget_is_divided_and_comes_back() {
+    let mut old = Holder::new(WHOLE);
+    let new = offered(old.said(Peer(1), &hello(), 100, Value::Null));
+    assert_eq!((old.share().sockets + new.sockets, old.share().memory + new.memory), (384, 48 << 20));
+    old.lost(Peer(1));
+    assert_eq!(old.share(), WHOLE, "the new one died before its yes");
+    // What the old one still holds over its half is not given away.
+    let new = offered(old.said(Peer(2), &hello(), 300, Value::Null));
+    assert_eq!(new.sockets, 84);
+    assert!(!old.succeeded());
+    assert_eq!(old.said(Peer(2), &ToOld::Ready, 0, Value::Null), None);
+    assert!(old.succeeded());
+    old.lost(Peer(2));
+    assert!(!old.succeeded(), "the successor is gone, so it has to serve alone");
+}
+
+#[test]
+fn a_second_new_process_waits_and_gives_up_plainly() {
+    let mut old = Holder::new(WHOLE);
+    offered(old.said(Peer(1), &hello(), 0, Value::Null));
+    assert_eq!(old.said(Peer(2), &hello(), 0, Value::Null), Some(Reply::Only(ToNew::Busy)));
+    // Nobody takes over without an offer.
+    old.said(Peer(2), &ToOld::Ready, 0, Value::Null);
+    assert!(!old.succeeded());
+    let mut second = Claimant::default();
+    let busy = || Heard::Answer { said: ToNew::Busy, listener: false };
+    let mut asked = 0;
+    while second.heard(busy()) == Ok(Step::AskAgain) {
+        asked += 1;
+    }
+    assert!(asked > 10);
+    assert_eq!(second.heard(busy()), Err(Trouble::Another));
+}
+
+#[test]
+fn what_cannot_be_used_leads_back_to_listening() {
+    let offer = |form, list| ToNew::Offer { form, sockets: 9, memory: 8, list };
+    let share = Share { sockets: 9, memory: 8 };
+    let heard = |said, listener| Claimant::default().heard(Heard::Answer { said, listener });
+    assert_eq!(heard(offer(1, Value::Null), true), Ok(Step::Take(Offer { share, list: None })));
+    assert_eq!(
+        heard(offer(1, Value::Null), false),
+        Ok(Step::Listen),
+        "no socket, or one for another address"
+    );
+    assert_eq!(heard(offer(99, Value::Null), true), Ok(Step::Listen), "a form that was never asked for");
+    assert_eq!(heard(ToNew::Unknown { forms: vec![99] }, false), Ok(Step::Listen));
+    assert_eq!(Claimant::default().heard(Heard::Nothing), Ok(Step::Listen));
+    assert_eq!(Claimant::default().heard(Heard::Nobody), Ok(Step::Listen));
+    let node = json!({"id": "a", "addr": "10.0.0.1:80", "state": "draining"});
+    let good = json!({"version": 7, "full": true, "servers": [node]});
+    let Ok(Step::Take(Offer { list: Some(list), .. })) = heard(offer(1, good), true) else {
+        panic!("no list")
+    };
+    assert_eq!((list.version, list.servers.len()), (7, 1));
+    for bad in [
+        json!({"version": 7, "full": false, "servers": [node]}),
+        json!({"version": 7, "full": true, "servers": []}),
+        json!({"version": "seven"}),
+    ] {
+        assert_eq!(heard(offer(1, bad), true), Ok(Step::Take(Offer { share, list: None })));
+    }
+}
+
+#[test]
+fn forms_that_nobody_shares_are_named() {
+    let mut old = Holder::new(WHOLE);
+    let reply = old.said(Peer(1), &ToOld::Hello { forms: vec![2, 3] }, 0, Value::Null);
+    assert_eq!(reply, Some(Reply::Only(ToNew::Unknown { forms: FORMS.to_vec() })));
+    assert_eq!(old.share(), WHOLE);
+    // Of several, the newest that both know.
+    let reply = old.said(Peer(2), &ToOld::Hello { forms: vec![9, 1] }, 0, Value::Null);
+    assert!(matches!(reply, Some(Reply::WithListener(ToNew::Offer { form: 1, .. }))));
+}
+
+#[test]
+fn a_second_upgrade_waits_until_the_first_old_process_has_gone() {
+    // Danger: three processes with a half each are over the limits.
+    let part = Share { sockets: 100, memory: 20 << 20 };
+    let mut new = Holder::beside(WHOLE, part);
+    assert_eq!(new.share(), part);
+    assert_eq!(new.said(Peer(1), &hello(), 0, Value::Null), Some(Reply::Only(ToNew::Busy)));
+    new.alone();
+    assert_eq!(new.share(), WHOLE);
+    assert_eq!(offered(new.said(Peer(1), &hello(), 0, Value::Null)), WHOLE.beside(WHOLE.kept(), 0));
+}
+
+#[test]
+fn a_process_that_listens_no_more_hands_nothing_on() {
+    let mut old = Holder::new(WHOLE);
+    offered(old.said(Peer(1), &hello(), 0, Value::Null));
+    old.close();
+    old.said(Peer(1), &ToOld::Ready, 0, Value::Null);
+    assert!(old.succeeded(), "what was handed on before is the other's own");
+    old.lost(Peer(1));
+    let reply = old.said(Peer(2), &hello(), 0, Value::Null);
+    assert_eq!(reply, Some(Reply::Only(ToNew::Unknown { forms: Vec::new() })));
+}
+
+#[test]
+fn messages_come_back_as_they_went_and_spoilt_ones_are_named() {
+    let offer = ToNew::Offer { form: 1, sockets: 3, memory: 4, list: json!({"version": 1}) };
+    for message in [offer, ToNew::Busy, ToNew::Unknown { forms: vec![1, 2] }] {
+        let bytes = message.bytes();
+        let length = ToNew::length([bytes[0], bytes[1], bytes[2], bytes[3]]).expect("a length");
+        assert_eq!(length, bytes.len() - 4);
+        assert_eq!(ToNew::read(&bytes[4..]).expect("a message"), message);
+    }
+    for message in [hello(), ToOld::Ready] {
+        assert_eq!(ToOld::read(&message.bytes()[4..]).expect("a message"), message);
+    }
+    assert!(matches!(ToOld::length([255; 4]), Err(BadMessage::Long(n)) if n > MESSAGE_MOST));
+    assert!(matches!(ToOld::read(b"{\"say\":\"what\"}"), Err(BadMessage::Spoilt(_))));
+    assert!(ToNew::read(b"GET / HTTP/1.1").is_err());
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Hello(u64, usize),
+    Ready(u64),
+    Lost(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        (0u64..6, 0usize..500).prop_map(|(p, held)| Event::Hello(p, held)),
+        (0u64..6).prop_map(Event::Ready),
+        (0u64..6).prop_map(Event::Lost),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Danger: together the processes of one proxy must stay within its limits, whatever comes when.
+    #[test]
+    fn all_processes_together_stay_within_the_limits(events in prop::collection::vec(event(), 0..80)) {
+        let mut old = Holder::new(WHOLE);
+        let mut offers: Vec<(u64, Share)> = Vec::new();
+        let mut ready: Option<u64> = None;
+        for event in events {
+            match event {
+                Event::Hello(p, held) => match old.said(Peer(p), &hello(), held, Value::Null) {
+                    Some(Reply::WithListener(ToNew::Offer { sockets, memory, .. })) => {
+                        prop_assert!(sockets + held.max(WHOLE.kept().sockets) <= WHOLE.sockets.max(held));
+                        offers.push((p, Share { sockets, memory }));
+                    }
+                    reply => prop_assert_eq!(reply, Some(Reply::Only(ToNew::Busy))),
+                },
+                Event::Ready(p) => {
+                    old.said(Peer(p), &ToOld::Ready, 0, Value::Null);
+                    if offers.iter().any(|o| o.0 == p) {
+                        ready = Some(p);
+                    }
+                }
+                Event::Lost(p) => {
+                    old.lost(Peer(p));
+                    offers.retain(|o| o.0 != p);
+                    ready = ready.filter(|r| *r != p);
+                }
+            }
+            prop_assert!(offers.len() <= 1);
+            prop_assert_eq!(old.succeeded(), ready.is_some());
+            let sum = offers.iter().fold(old.share(), |sum, (_, s)| Share {
+                sockets: sum.sockets + s.sockets,
+                memory: sum.memory + s.memory,
+            });
+            prop_assert!(sum.sockets <= WHOLE.sockets && sum.memory <= WHOLE.memory, "{:?}", sum);
+            if offers.is_empty() {
+                prop_assert_eq!(old.share(), WHOLE);
+            }
+        }
+    }
+}
--- a/crates/nodes/src/lib.rs
+++ b/crates/nodes/src/lib.rs
@@ -10,6 +10,7 @@
 mod member;
 mod merge;
 mod pins;
+mod roll;
 
 pub use check::{check_list, ListFault};
 pub use cursor::{Answer, Cursor};
@@ -17,6 +18,7 @@
 pub use member::{Member, Members, NodeState};
 pub use merge::{Changes, Merge, MergeLimits, News, Source, Stated, View};
 pub use pins::{Pin, Pins};
+pub use roll::Roll;
 
 /// A point in time or a span, in nanoseconds.
 pub type Nanos = u64;
--- a/crates/nodes/src/member.rs
+++ b/crates/nodes/src/member.rs
@@ -65,7 +65,7 @@
 }
 
 /// A list of nodes.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Members {
     /// The list's version; grows with each change until discovery itself starts anew.
     pub version: u64,
--- /dev/null
+++ b/crates/nodes/src/roll.rs
@@ -0,0 +1,56 @@
+//! The whole list, as it stands after all that discovery has told.
+
+use crate::{Member, Members, NodeState};
+use std::collections::BTreeMap;
+
+/// A list that is kept whole.
+#[derive(Clone, Debug, Default)]
+pub struct Roll {
+    version: u64,
+    nodes: BTreeMap<String, Member>,
+}
+
+impl Roll {
+    /// Takes a whole list, or what has changed.
+    pub fn take(&mut self, list: &Members) {
+        self.version = list.version;
+        if list.full {
+            self.nodes.clear();
+        }
+        for member in &list.servers {
+            match member.state {
+                NodeState::Gone => drop(self.nodes.remove(&member.id)),
+                _ => drop(self.nodes.insert(member.id.clone(), member.clone())),
+            }
+        }
+    }
+
+    /// The list as a whole; `None`: nothing was told, or all nodes are gone.
+    pub fn whole(&self) -> Option<Members> {
+        let servers: Vec<Member> = self.nodes.values().cloned().collect();
+        (!servers.is_empty()).then_some(Members { version: self.version, full: true, servers })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn changes_add_up_to_the_whole() {
+        let list = |version, full, nodes: &[(&str, &str)]| -> Members {
+            let node = |(id, state): &(&str, &str)| format!(r#"{{"id":"{id}","state":"{state}"}}"#);
+            let servers: Vec<String> = nodes.iter().map(node).collect();
+            let text = format!(r#"{{"version":{version},"full":{full},"servers":[{}]}}"#, servers.join(","));
+            serde_json::from_str(&text).expect("a list")
+        };
+        let mut roll = Roll::default();
+        assert_eq!(roll.whole(), None);
+        roll.take(&list(3, true, &[("a", "ready"), ("b", "ready")]));
+        roll.take(&list(4, false, &[("b", "draining"), ("c", "ready")]));
+        roll.take(&list(5, false, &[("a", "gone")]));
+        assert_eq!(roll.whole(), Some(list(5, true, &[("b", "draining"), ("c", "ready")])));
+        roll.take(&list(6, true, &[("d", "ready")]));
+        assert_eq!(roll.whole(), Some(list(6, true, &[("d", "ready")])));
+    }
+}
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,15 +1,17 @@
 //! What stands behind the clients: one decision module on the proxy's own list, or the clusters of Envoy's form.
 
 use super::engine::Engine;
+use super::nodes::NodeList;
 use super::pools::Pools;
 use super::upstream::Upstreams;
+use serde_json::Value;
 use std::rc::Rc;
 
 /// What answers requests.
 #[derive(Clone)]
 pub enum Front {
     /// All of them go to one module.
-    One { engine: Rc<Engine>, upstreams: Rc<Upstreams> },
+    One { engine: Rc<Engine>, upstreams: Rc<Upstreams>, nodes: Rc<NodeList> },
     /// Routes say where each goes.
     Pools(Rc<Pools>),
 }
@@ -23,6 +25,15 @@
         }
     }
 
+    /// Discovery's list, for a process that takes over; null: there is none.
+    pub fn list(&self) -> Value {
+        match self {
+            // Nothing in a list can fail to be written.
+            Front::One { nodes, .. } => serde_json::to_value(nodes.whole()).unwrap_or_default(),
+            Front::Pools(_) => Value::Null,
+        }
+    }
+
     /// How many cache nodes are listed, and how many of them are avoided now.
     pub fn members(&self) -> (usize, usize) {
         match self {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,8 @@
 pub mod envoy;
 mod front;
 mod gate;
+mod handover;
+mod listening;
 pub mod local;
 mod nodes;
 mod pools;
--- a/src/net/nodes.rs
+++ b/src/net/nodes.rs
@@ -4,7 +4,9 @@
 use crate::api::{server_id, ListKind, ServerId};
 use rushquay_control_service::steady;
 use rushquay_lease::{Nanos, Skew, SECOND};
-use rushquay_nodes::{Changes, Member, Members, Merge, MergeLimits, News, NodeState, Pin, Pins, Source};
+use rushquay_nodes::{
+    Changes, Member, Members, Merge, MergeLimits, News, NodeState, Pin, Pins, Roll, Source,
+};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -16,6 +18,8 @@
     /// How far the control service's clock is ahead: what it says of time is on that clock.
     skew: Cell<Skew>,
     pins: RefCell<Vec<(Pin, ServerId)>>,
+    /// Discovery's list, for a process that takes over.
+    roll: RefCell<Roll>,
     /// Unix time at the start, and the machine's steady clock then.
     start: (Nanos, Nanos),
 }
@@ -32,7 +36,10 @@
             RefCell::new(merge)
         });
         let start = (engine.now(), steady());
-        Rc::new(NodeList { engine, merge, skew: Cell::default(), pins: RefCell::default(), start })
+        let mut roll = Roll::default();
+        known.iter().for_each(|known| roll.take(known));
+        let (skew, pins, roll) = (Cell::default(), RefCell::default(), RefCell::new(roll));
+        Rc::new(NodeList { engine, merge, skew, pins, roll, start })
     }
 
     /// Unix time by this machine, which never jumps.
@@ -59,8 +66,14 @@
         self.skew.set(skew);
     }
 
+    /// Discovery's list as a whole.
+    pub fn whole(&self) -> Option<Members> {
+        self.roll.borrow().whole()
+    }
+
     /// Discovery has told the whole list, or what changed.
     pub fn discovered(&self, list: &Members) {
+        self.roll.borrow_mut().take(list);
         let Some(merge) = &self.merge else {
             let kind = if list.full { ListKind::Full } else { ListKind::Delta };
             return self.engine.list(kind, &list.servers);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -9,6 +9,8 @@
 use super::envoy;
 use super::front::Front;
 use super::gate::{Gate, Seen};
+use super::handover::{self, Found, Keeper, Link, Listening};
+use super::listening::{self, Place};
 use super::nodes::NodeList;
 use super::pools::Pools;
 use super::routed::Routed;
@@ -22,7 +24,10 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::TokioIo;
+use rushquay_handover::{Holder, Share};
+use rushquay_nodes::Members;
 use rushquay_operate::{End, Ledger, Standing};
+use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::convert::Infallible;
@@ -66,6 +71,13 @@
 /// A proxy may be killed so long after the longest deadline after SIGTERM; it ends a little sooner.
 const END_BEFORE: Duration = Duration::from_millis(600);
 
+/// So long before the end of the process the last answers are written.
+const LAST_WORD: Duration = Duration::from_millis(50);
+/// A process that is to serve looks so often whether it can.
+const SERVE_LOOK: Duration = Duration::from_millis(10);
+/// Where the old process can't be heard of it has gone by then: the new one has 6 s to say yes, and SIGKILL comes soon after.
+const BESIDE_FOR: Duration = Duration::from_secs(12);
+
 /// A client's connection, as others see it.
 struct Client {
     socket: Rc<Socket>,
@@ -127,10 +139,14 @@
 struct Server {
     front: Front,
     descriptors: Rc<Descriptors>,
-    /// Danger: clients that hold every descriptor could be answered by nobody. Of two they get one.
-    clients_most: usize,
+    /// Descriptors that are none of the budget.
+    own: usize,
     settings: api::Settings,
     draining: Cell<bool>,
+    /// Connections are accepted.
+    serving: Cell<bool>,
+    /// When this process ends, once it was told to.
+    end: Cell<Option<Instant>>,
     clients: RefCell<Vec<Rc<Client>>>,
     /// The ids of all requests that lack their answer. Their hash is keyed, since clients choose them.
     ids: RefCell<HashSet<HeaderValue>>,
@@ -161,9 +177,33 @@
     hangup: Signal,
     told: impl FnOnce(SocketAddr),
 ) -> Result<(), String> {
-    let listen = config.listen;
-    let listener = TcpListener::bind(listen).await.map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
-    let bound = listener.local_addr().map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
+    let mut stop = std::pin::pin!(stop);
+    let mut config = config;
+    let whole = Share { sockets: config.sockets, memory: config.memory };
+    let place = handover::meeting_place(config.listen);
+    let found = match &place {
+        Some(place) => handover::look(place, config.listen).await?,
+        None => Found::None,
+    };
+    let (mut share, mut link) = (whole, None);
+    let listening = match found {
+        Found::Old { listener, offer, link: old } => {
+            share = offer.share;
+            // What the old process was told counts as told to this one.
+            config.known = newer(config.known, offer.list);
+            link = Some(old);
+            Place::Alone(listener)
+        }
+        Found::None => listening::bind(config.listen)?,
+    };
+    let bound = match &listening {
+        Place::Alone(listener) => listener.local_addr(),
+        Place::Beside(_) => {
+            share = whole.kept();
+            Ok(config.listen)
+        }
+    };
+    let bound = bound.map_err(|e| format!("PROXY_LISTEN: {}: {e}", config.listen))?;
     super::log(format_args!("listening on {bound}"));
     super::account::start();
     told(bound);
@@ -172,15 +212,12 @@
     if let Some(operators) = &operators {
         super::log(format_args!("operators at {}", operators.addr));
     }
-    // Danger: each connection may come to hold a body and what is read ahead of it. So many are taken as there is
-    // room for, even if all of them do.
-    let room = config.memory.saturating_sub(OWN_MEMORY) / (BODY_MOST + 2 * BUFFER_MOST);
     let own = OWN_DESCRIPTORS
         + config.control.as_ref().map_or(0, |_| control::DESCRIPTORS)
         + config.envoy.as_ref().map_or(0, |_| envoy::DESCRIPTORS)
-        + operators.as_ref().map_or(0, |_| admin::DESCRIPTORS);
-    let descriptors = Descriptors::new(config.sockets.saturating_sub(own).min(room).max(8));
-    let clients_most = descriptors.free() / 2;
+        + operators.as_ref().map_or(0, |_| admin::DESCRIPTORS)
+        + place.as_ref().map_or(0, |_| handover::DESCRIPTORS);
+    let descriptors = Descriptors::new(capacity(share, own));
     let settings = config.settings.clone();
     let front = match config.envoy.clone() {
         Some(source) => {
@@ -202,9 +239,11 @@
     let server = Rc::new(Server {
         front,
         descriptors,
-        clients_most,
+        own,
         settings,
         draining: Cell::new(false),
+        serving: Cell::new(false),
+        end: Cell::new(None),
         clients: RefCell::default(),
         ids: RefCell::default(),
         left: Notify::new(),
@@ -220,15 +259,87 @@
             watched.tell_operators();
         }
     });
+    // Danger: what a process accepts before it can serve it takes away from the old one, which could.
+    let beside = matches!(listening, Place::Beside(_));
+    if beside || link.is_some() {
+        tokio::select! {
+            biased;
+            () = &mut stop => return Ok(()),
+            () = server.can_serve() => {}
+            () = ended(&mut link) => super::log("the old process has ended"),
+        }
+    }
+    let listener = match listening {
+        Place::Alone(listener) => listener,
+        Place::Beside(socket) => {
+            listening::listen(socket).map_err(|e| format!("PROXY_LISTEN: {bound}: {e}"))?
+        }
+    };
+    server.serving.set(true);
+    server.tell_operators();
+    let listener = Rc::new(listener);
+    let holder = if beside || link.is_some() { Holder::beside(whole, share) } else { Holder::new(whole) };
+    let keeper = Keeper::start(place.as_deref(), listener.clone(), holder, server.clone());
+    let left = keeper.clone();
+    if let Some(mut link) = link {
+        link.ready().await;
+        tokio::task::spawn_local(async move {
+            link.ended().await;
+            super::log("the old process has ended");
+            left.alone();
+        });
+    } else if beside {
+        tokio::task::spawn_local(async move {
+            sleep(BESIDE_FOR).await;
+            left.alone();
+        });
+    }
     tokio::select! {
         biased;
         () = stop => {}
         never = server.accept_all(&listener) => match never {},
     }
-    server.drain(listener).await;
+    server.drain(listener, &keeper).await;
     Ok(())
 }
 
+async fn ended(link: &mut Option<Link>) {
+    match link {
+        Some(link) => link.ended().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// The later of two lists.
+fn newer(known: Option<Members>, told: Option<Members>) -> Option<Members> {
+    match (known, told) {
+        (Some(known), Some(told)) if known.version > told.version => Some(known),
+        (known, told) => told.or(known),
+    }
+}
+
+/// How many connections there is room for. Danger: each may come to hold a body and what is read ahead of it. So many are
+/// taken as there is memory for, even if all of them do.
+fn capacity(share: Share, own: usize) -> usize {
+    let room = share.memory.saturating_sub(OWN_MEMORY) / (BODY_MOST + 2 * BUFFER_MOST);
+    share.sockets.saturating_sub(own).min(room).max(8)
+}
+
+impl Listening for Server {
+    fn held(&self) -> usize {
+        self.own + self.descriptors.taken()
+    }
+
+    fn list(&self) -> Value {
+        self.front.list()
+    }
+
+    fn hold(&self, share: Share) {
+        self.descriptors.resize(capacity(share, self.own));
+        while self.descriptors.taken() > self.descriptors.most() && self.front.yield_idle() {}
+    }
+}
+
 /// One decision module on the list of the proxy's own discovery, with a control service's where one is subscribed to.
 fn one(
     config: Config,
@@ -250,7 +361,7 @@
     let (moves, moved) = mpsc::unbounded_channel();
     tokio::task::spawn_local(discovery.follow(nodes.clone(), asked, moved));
     if let Some(subscription) = subscription {
-        tokio::task::spawn_local(subscription.follow(nodes));
+        tokio::task::spawn_local(subscription.follow(nodes.clone()));
     }
     tokio::task::spawn_local(async move {
         while hangup.recv().await.is_some() {
@@ -261,10 +372,22 @@
             }
         }
     });
-    Ok(Front::One { engine, upstreams })
+    Ok(Front::One { engine, upstreams, nodes })
 }
 
 impl Server {
+    /// Danger: clients that hold every descriptor could be answered by nobody. Of two they get one.
+    fn clients_most(&self) -> usize {
+        self.descriptors.most() / 2
+    }
+
+    /// Returns once a request could be served.
+    async fn can_serve(&self) {
+        while !self.front.can_serve() {
+            sleep(SERVE_LOOK).await;
+        }
+    }
+
     /// Brings what operators read up to date where it changes by itself, with time.
     fn tell_operators(&self) {
         let (listed, avoided) = self.front.members();
@@ -272,7 +395,7 @@
         self.ledger.unavailable.set(avoided as u64);
         self.ledger.stand(match self.draining.get() {
             true => Standing::Draining,
-            false if self.front.can_serve() => Standing::Serving,
+            false if self.serving.get() && self.front.can_serve() => Standing::Serving,
             false => Standing::Starting,
         });
     }
@@ -297,7 +420,7 @@
             }
         };
         let permit = loop {
-            if self.clients.borrow().len() >= self.clients_most {
+            if self.clients.borrow().len() >= self.clients_most() {
                 if !self.one_leaves() {
                     self.yield_client(false);
                 }
@@ -314,7 +437,7 @@
         // Danger: clients too have only so many connections; those that they ask once on and keep would leave
         // them none to ask on.
         let staying = self.clients.borrow().iter().filter(|c| !c.closing.get()).count();
-        if staying > self.clients_most / 2 {
+        if staying > self.clients_most() / 2 {
             self.yield_client(true);
         }
     }
@@ -328,7 +451,7 @@
         let mut idle: Vec<_> = clients.iter().filter(|c| !c.busy.get() && !c.closing.get()).collect();
         let now = Instant::now();
         let asks = |c: &Client| c.seen.heads.get() > 0 && c.seen.head_since.get().is_none();
-        let flood = idle.iter().filter(|c| !asks(c)).count() > self.clients_most / SILENT_PART;
+        let flood = idle.iter().filter(|c| !asks(c)).count() > self.clients_most() / SILENT_PART;
         let about_to_ask = |c: &Client| !asks(c) && !flood && now - c.since.get() < ASK_SOON;
         if spare && flood {
             return;
@@ -396,20 +519,35 @@
     }
 
     /// Answers what comes and asks clients away, then ends idle connections, and waits for the rest.
-    async fn drain(self: &Rc<Self>, listener: TcpListener) {
+    async fn drain(self: &Rc<Self>, listener: Rc<TcpListener>, keeper: &Keeper) {
         super::log("draining");
+        let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        let longest = Duration::from_nanos(longest);
+        let start = Instant::now();
+        let end = start + longest + END_BEFORE;
+        self.end.set(Some(end));
         self.draining.set(true);
         self.tell_operators();
-        let start = Instant::now();
-        let mut until = start + ACCEPT_FOR;
-        while let Ok(accepted) = timeout_at(until.min(start + ACCEPT_MOST), listener.accept()).await {
-            self.accepted(accepted).await;
-            until = until.max(Instant::now() + QUIET_FOR);
+        if keeper.succeeded() {
+            // Danger: an idle connection that is closed just as its client asks on it costs that request a turn at the door.
+            // Who asks is sent over by the answer; what never asks goes last.
+            let last = start + longest;
+            while !self.clients.borrow().is_empty() {
+                tokio::select! {
+                    () = self.left.notified() => {}
+                    () = sleep_until(last) => break,
+                }
+            }
+        } else {
+            let mut until = start + ACCEPT_FOR;
+            while let Ok(accepted) = timeout_at(until.min(start + ACCEPT_MOST), listener.accept()).await {
+                self.accepted(accepted).await;
+                until = until.max(Instant::now() + QUIET_FOR);
+            }
         }
+        keeper.close();
         drop(listener);
         self.clients.borrow().iter().for_each(|c| c.end());
-        let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-        let end = start + Duration::from_nanos(longest) + END_BEFORE;
         while !self.clients.borrow().is_empty() {
             tokio::select! {
                 () = self.left.notified() => {}
@@ -448,7 +586,14 @@
         let read = asked(&self.settings.classes[class], class, engine, head, body, forward.as_deref()).await;
         let mut entry = self.ledger.take(class);
         let asked = match read {
-            Ok(asked) => asked,
+            Ok(mut asked) => {
+                // Danger: what this process has not answered when it ends is lost.
+                if let Some(end) = self.end.get() {
+                    let left = end.saturating_duration_since(Instant::now()).saturating_sub(LAST_WORD);
+                    asked.request.remaining = asked.request.remaining.min(left.as_nanos() as api::Nanos);
+                }
+                asked
+            }
             Err((status, why)) => {
                 entry.answered(End::Failed);
                 let mut response = bad(status, why);
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -14,25 +14,40 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-/// The descriptors that sockets may still take.
+/// The descriptors that sockets may take.
 pub struct Descriptors {
-    free: Cell<usize>,
+    most: Cell<usize>,
+    taken: Cell<usize>,
     freed: Notify,
 }
 
 impl Descriptors {
-    pub fn new(free: usize) -> Rc<Self> {
-        Rc::new(Descriptors { free: Cell::new(free), freed: Notify::new() })
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(Descriptors { most: Cell::new(most), taken: Cell::new(0), freed: Notify::new() })
     }
 
-    pub fn free(&self) -> usize {
-        self.free.get()
+    /// How many there are, taken or not.
+    pub fn most(&self) -> usize {
+        self.most.get()
+    }
+
+    /// How many are taken; may be more than there are, after there were more.
+    pub fn taken(&self) -> usize {
+        self.taken.get()
+    }
+
+    /// So many there are from now on.
+    pub fn resize(&self, most: usize) {
+        self.most.set(most);
+        self.freed.notify_one();
     }
 
     /// Takes one, if any is free.
     pub fn take(self: &Rc<Self>) -> Option<Permit> {
-        let left = self.free.get().checked_sub(1)?;
-        self.free.set(left);
+        if self.taken.get() >= self.most.get() {
+            return None;
+        }
+        self.taken.set(self.taken.get() + 1);
         Some(Permit(self.clone()))
     }
 
@@ -47,7 +62,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.0.free.set(self.0.free.get() + 1);
+        self.0.taken.set(self.0.taken.get() - 1);
         self.0.freed.notify_one();
     }
 }
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -24,8 +24,7 @@
     config["admin_addr"] = json!("127.0.0.1:0");
     config["limits"]["sockets"] = json!(sockets);
     let mut proxy = Proxy::new(&config);
-    let line = proxy.line_with("operators at ");
-    let admin = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+    let admin = proxy.yes();
     (Rig { proxy, cache, origin, discovery }, admin)
 }
 
@@ -57,8 +56,7 @@
     let mut config = config(discovery.addr, &[member("c1", node.addr, "std", "draining")]);
     config["admin_addr"] = json!("127.0.0.1:0");
     let mut proxy = Proxy::new(&config);
-    let line = proxy.line_with("operators at ");
-    let admin = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+    let admin = proxy.told("operators at ");
     assert!(call(admin, "STATUS\n").starts_with("-ERR starting"));
     until(admin, "proxy_members ", 1);
     until(admin, "proxy_members_unavailable ", 1);
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -183,23 +183,55 @@
 }
 
 pub fn start(text: &str) -> (Child, PathBuf) {
+    start_with(text, &[])
+}
+
+/// Starts the program with nothing in its environment but this and its configuration.
+pub fn start_with(text: &str, variables: &[(&str, &str)]) -> (Child, PathBuf) {
     static NUMBER: AtomicU32 = AtomicU32::new(0);
     let name = format!("rushquay-{}-{}.json", std::process::id(), NUMBER.fetch_add(1, Ordering::Relaxed));
     let file = std::env::temp_dir().join(name);
     std::fs::write(&file, text).expect("a configuration file");
     let mut command = Command::new(env!("CARGO_BIN_EXE_rushquay"));
-    command.env_clear().env("PROXY_CONFIG", &file).stderr(Stdio::piped());
+    command.env_clear().envs(variables.iter().copied());
+    command.env("PROXY_CONFIG", &file).stderr(Stdio::piped());
     (command.spawn().expect("started"), file)
 }
 
 impl Proxy {
     pub fn new(config: &Value) -> Self {
-        let (mut child, file) = start(&config.to_string());
-        let mut log = BufReader::new(child.stderr.take().expect("a log"));
-        let mut line = String::new();
-        log.read_line(&mut line).expect("a first line");
+        Self::with(config, &[])
+    }
+
+    pub fn with(config: &Value, variables: &[(&str, &str)]) -> Self {
+        let (mut child, file) = start_with(&config.to_string(), variables);
+        let log = BufReader::new(child.stderr.take().expect("a log"));
+        let mut proxy = Proxy { child, addr: ([0, 0, 0, 0], 0).into(), log, file };
+        proxy.addr = proxy.told("listening on ");
+        proxy
+    }
+
+    /// The address in the next line of the log that holds this.
+    pub fn told(&mut self, part: &str) -> SocketAddr {
+        let line = self.line_with(part);
         let addr = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
-        Proxy { child, addr: addr.unwrap_or_else(|| panic!("no address in {line:?}")), log, file }
+        addr.unwrap_or_else(|| panic!("no address in {line:?}"))
+    }
+
+    /// Waits until the proxy says yes to operators; returns their address.
+    pub fn yes(&mut self) -> SocketAddr {
+        let admin = self.told("operators at ");
+        for _ in 0..3000 {
+            let mut peer = Peer::to(admin);
+            peer.write("STATUS\n");
+            let mut text = String::new();
+            peer.0.read_to_string(&mut text).expect("an answer");
+            if text.starts_with("+OK") {
+                return admin;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        panic!("no yes");
     }
 
     pub fn client(&self) -> Peer {
