Pass long bodies on as they come, and tell slow peers from stopped ones by progress

A long request body is one attempt's alone; the client's time runs from its last byte. Heads, bodies and answers are given up for lack of progress, not after fixed spans.

--- a/src/net/asking.rs
+++ b/src/net/asking.rs
@@ -1,17 +1,15 @@
 //! A client's request read into the module's terms, and the module's answers as responses.
 
+use super::body::{beginning, Unread, Upload, BODY_PATIENCE};
 use super::engine::{Answer, Asked, Engine};
 use super::routed::Forward;
-use super::upstream::{Job, TIME_LEFT};
-use super::{Body, BODY_MOST};
+use super::upstream::{Job, JobBody, TIME_LEFT};
+use super::Body;
 use crate::api::{self, Effect, Nanos};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Response, StatusCode, Version};
-use std::time::Duration;
-use tokio::time::timeout;
 
 pub const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
 const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
@@ -30,8 +28,8 @@
 ];
 /// An id is at most this long.
 const ID_MOST: usize = 128;
-/// A body comes whole within this time.
-const COME_WITHIN: Duration = Duration::from_millis(1500);
+/// A long body has come whole by then: half a gigabyte from the slowest client that is well.
+const UPLOAD_MOST: Nanos = 3600 * 1_000_000_000;
 
 /// The name of a request's class: the first part of its path, unless its route says another.
 pub fn class_of<'a>(head: &'a Parts, forward: Option<&'a Forward>) -> &'a str {
@@ -82,18 +80,17 @@
     if write && settings.effect == Effect::Keyed && key_of_repeats.is_none_or(|k| k.is_empty()) {
         return Err((StatusCode::BAD_REQUEST, "no Idempotency-Key"));
     }
-    let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB");
-    if body.size_hint().lower() > BODY_MOST as u64 {
-        return Err(too_large);
-    }
+    let mut body = body;
+    let length = body.size_hint().exact();
     // Danger: a client that stalls in the midst of its body would keep its connection, which counts as busy.
-    let within = Duration::from_nanos(patience).min(COME_WITHIN);
-    let read = timeout(within, Limited::new(body, BODY_MOST).collect()).await;
-    let read = read.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))?;
-    let body = read.map(|b| b.to_bytes()).map_err(|e| match e.is::<LengthLimitError>() {
-        true => too_large,
-        false => (StatusCode::BAD_REQUEST, "the body is broken"),
+    let (held, whole) = beginning(&mut body, BODY_PATIENCE, None).await.map_err(|e| match e {
+        Unread::Stopped => (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
+        Unread::Broken => (StatusCode::BAD_REQUEST, "the body is broken"),
     })?;
+    let (body, upload) = match whole {
+        true => (JobBody::Whole(held), 0),
+        false => (JobBody::Long(Upload::new(held, body, length)), UPLOAD_MOST),
+    };
     let tenant = head.headers.get(ACCOUNT).and_then(|a| a.to_str().ok());
     let tenant = tenant.and_then(|a| engine.names().tenants.iter().position(|t| t == a));
     let request = api::Request {
@@ -113,7 +110,7 @@
     // The body is passed on with the length that it has.
     headers.remove(header::CONTENT_LENGTH);
     let terms = forward.map(|f| f.terms.clone());
-    Ok(Asked { request, job: Job { method: head.method, uri, headers, body }, terms })
+    Ok(Asked { request, job: Job { method: head.method, uri, headers, body }, upload, terms })
 }
 
 /// An id is printable and has no blanks: anything else may be read otherwise by who it is passed on to.
@@ -157,7 +154,7 @@
             // Danger: hyper believes a length that stands here; the body held has one of its own.
             head.headers.remove(header::CONTENT_LENGTH);
             head.version = Version::HTTP_11;
-            Response::from_parts(head, Body::new(body))
+            Response::from_parts(head, body)
         }
         Answer::Refused(wait) => {
             let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
@@ -194,6 +191,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::time::Duration;
 
     #[test]
     fn advice_to_wait_reaches_the_client_as_seconds() {
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -5,9 +5,9 @@
 use super::config::Names;
 use super::terms::{Made, Terms};
 use super::upstream::{Ended, Job, Tether, Upstreams};
+use super::Body;
 use crate::api::*;
 use crate::Balancer;
-use hyper::body::Bytes;
 use hyper::Response;
 use rushquay_nodes::{Member, Pins};
 use rushquay_operate::End;
@@ -44,13 +44,13 @@
     }
 }
 
-fn margin(patience: Nanos) -> Nanos {
+pub fn margin(patience: Nanos) -> Nanos {
     MARGIN.min(patience / MARGIN_PART)
 }
 
 /// The final answer of a request.
 pub enum Answer {
-    Served(Response<Bytes>),
+    Served(Response<Body>),
     /// Not done, a repeat is harmless; with the advised wait.
     Refused(Duration),
     Failed,
@@ -73,6 +73,8 @@
 pub struct Asked {
     pub request: Request,
     pub job: Job,
+    /// The client's time runs from its last byte, which may come so much later.
+    pub upload: Nanos,
     /// What its cluster and route say beside; `None`: nothing.
     pub terms: Option<Rc<Terms>>,
 }
@@ -230,13 +232,13 @@
 
     /// A request has come; its answer comes from the ticket.
     pub fn arrive(&self, asked: Asked) -> Ticket {
-        let Asked { mut request, job, terms } = asked;
+        let Asked { mut request, job, upload, terms } = asked;
         let core = &mut *self.core.borrow_mut();
         let now = self.clock.now();
         let (answer, answered) = oneshot::channel();
         let id = core.next;
         core.next += 1;
-        let patience = request.remaining;
+        let patience = request.remaining.saturating_add(upload);
         request.id = id;
         let margin = margin(patience);
         request.remaining = patience - margin;
@@ -343,11 +345,12 @@
         let pending = core.pending.get_mut(&id)?;
         let number = pending.attempts.len();
         let left = pending.deadline.saturating_sub(now);
-        if pending.answer.is_none() || left == 0 {
+        if pending.answer.is_none() || left == 0 || !pending.job.may_send() {
             pending.attempts.push(Attempt::unsent(server, now));
             return Some(self.outcome(pending, number, Status::Moot, None));
         }
-        let mut wait = if timeout == 0 { left } else { timeout.min(left) };
+        // The module's patience is made for what a node gets at once.
+        let mut wait = if timeout == 0 || pending.job.upload().is_some() { left } else { timeout.min(left) };
         let mut made = Made::default();
         if let Some(terms) = &pending.terms {
             let earlier = pending.attempts.iter().map(|a| (a.sent, &a.made));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod account;
 mod admin;
 mod asking;
+mod body;
 pub mod config;
 pub mod control;
 mod discovery;
@@ -22,17 +23,12 @@
 mod terms;
 mod upstream;
 
-use http_body_util::Full;
-use hyper::body::Bytes;
+use body::{Body, BODY_MOST};
 use std::io::Write as _;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-/// Bodies hold at most this.
-const BODY_MOST: usize = 64 << 10;
 /// What is read ahead of a connection, heads among it, holds at most this.
 const BUFFER_MOST: usize = 16 << 10;
-/// A body that is held whole.
-type Body = Full<Bytes>;
 
 /// Writes a line about something rare to standard error. Danger: a fault that repeats with every request would
 /// fill memory or block the one thread, so only the first lines of a run are kept.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,10 +2,11 @@
 
 use super::admin::{self, Operators};
 use super::asking::{asked, bad, class_of, closing, plain, respond_with, CORRELATION_ID};
+use super::body::Upload;
 use super::config::Config;
 use super::control;
 use super::discovery::{self, Discovery};
-use super::engine::{Engine, Ticket};
+use super::engine::{margin, Answer, Engine, Ticket};
 use super::envoy;
 use super::front::Front;
 use super::gate::{Gate, Seen};
@@ -50,10 +51,12 @@
 const SILENT_PART: usize = 4;
 /// A connection that is to make room does so within this time, or another is asked to.
 const YIELD_WITHIN: Duration = Duration::from_millis(2);
-/// A head that has begun on a connection used before, or a body, comes whole within this time.
-const COME_WITHIN: Duration = Duration::from_millis(1500);
-/// The kernel takes the rest of an answer within this time.
-const TAKE_WITHIN: Duration = Duration::from_secs(2);
+/// A head that has begun comes whole within this time, and something of it within the other. The slowest that is well
+/// takes two seconds.
+const HEAD_WITHIN: Duration = Duration::from_secs(4);
+const HEAD_SILENT: Duration = Duration::from_millis(2500);
+/// The kernel takes something of an answer within this time.
+const TAKE_WITHIN: Duration = Duration::from_secs(10);
 /// A connection that has been without a request for so long is closed.
 const IDLE_MOST: Duration = Duration::from_secs(10);
 /// Idle connections to nodes are looked at so often.
@@ -116,26 +119,42 @@
     /// Danger: silence, a head that does not end and an answer that is not read would each hold a descriptor for
     /// good.
     fn look(&self, now: Instant) {
-        if self.busy.get() {
-            return;
-        }
         let over = |from: Instant, most: Duration| now.saturating_duration_since(from) > most;
-        let asked = self.seen.heads.get() > 0;
-        let overdue = if asked {
-            self.seen.head_since.get().is_some_and(|since| over(since, COME_WITHIN))
-                || self.socket.stalled() && over(self.since.get(), TAKE_WITHIN)
-        } else {
-            over(self.came, ASK_WITHIN)
-        };
+        let moved = self.socket.moved();
+        let mut overdue = self.socket.stalled() && over(moved, TAKE_WITHIN);
+        if !self.busy.get() {
+            overdue |= match self.seen.head_since.get() {
+                // Who writes slowly is told from who has stopped by what has come lately.
+                Some(since) => over(since, HEAD_WITHIN) || over(moved, HEAD_SILENT),
+                None => self.seen.heads.get() == 0 && over(self.came, ASK_WITHIN),
+            };
+        }
         if overdue {
             self.dropped.set(true);
             self.end();
-        } else if over(self.since.get(), IDLE_MOST) && self.socket.silent() {
+        } else if !self.busy.get() && over(self.since.get(), IDLE_MOST) && self.socket.silent() {
             self.end();
         }
     }
 }
 
+/// A request is being answered, until this is dropped.
+struct Busy(Rc<Client>);
+
+impl Busy {
+    fn new(client: &Rc<Client>) -> Self {
+        client.busy.set(true);
+        Busy(client.clone())
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.busy.set(false);
+        self.0.since.set(Instant::now());
+    }
+}
+
 struct Server {
     front: Front,
     descriptors: Rc<Descriptors>,
@@ -303,6 +322,13 @@
     Ok(())
 }
 
+/// Returns when a client that has sent a long body whole stops waiting soon; never where there is none.
+async fn overdue(upload: Option<Rc<Upload>>, patience: api::Nanos) {
+    let Some(upload) = upload else { return std::future::pending().await };
+    upload.whole().await;
+    sleep(Duration::from_nanos(patience - margin(patience) / 2)).await;
+}
+
 async fn ended(link: &mut Option<Link>) {
     match link {
         Some(link) => link.ended().await,
@@ -475,7 +501,7 @@
         self.clients.borrow_mut().push(client.clone());
         tokio::task::spawn_local(async move {
             let service = service_fn(|request| {
-                client.busy.set(true);
+                let busy = Busy::new(&client);
                 let fault = client.seen.fault.take();
                 let (server, client) = (&self, &client);
                 async move {
@@ -483,11 +509,10 @@
                         Some(why) => bad(StatusCode::BAD_REQUEST, why),
                         None => server.respond(request, &client.socket).await,
                     };
+                    response.body_mut().carry(busy);
                     if server.draining.get() || client.closing.get() || client.seen.last.get() {
                         closing(&mut response);
                     }
-                    client.busy.set(false);
-                    client.since.set(Instant::now());
                     Ok::<_, Infallible>(response)
                 }
             });
@@ -506,7 +531,7 @@
                     _ = connection.as_mut() => break,
                     () = client.close.notified() => {
                         // Danger: hyper waits without end for the rest of a head. Nothing is owed for one.
-                        if !client.busy.get() && (client.dropped.get() || !client.socket.stalled()) {
+                        if client.dropped.get() || !client.busy.get() && !client.socket.stalled() {
                             break;
                         }
                         connection.as_mut().graceful_shutdown();
@@ -590,7 +615,9 @@
                 // Danger: what this process has not answered when it ends is lost.
                 if let Some(end) = self.end.get() {
                     let left = end.saturating_duration_since(Instant::now()).saturating_sub(LAST_WORD);
-                    asked.request.remaining = asked.request.remaining.min(left.as_nanos() as api::Nanos);
+                    let left = left.as_nanos() as api::Nanos;
+                    asked.request.remaining = asked.request.remaining.min(left);
+                    asked.upload = asked.upload.min(left);
                 }
                 asked
             }
@@ -611,6 +638,8 @@
             return bad(StatusCode::CONFLICT, "a request with this X-Correlation-Id is open");
         }
         let _open = OpenId { server: self, id };
+        let upload = asked.job.upload().cloned();
+        let patience = asked.request.remaining;
         let mut ticket: Ticket = engine.arrive(asked);
         let mut response = tokio::select! {
             biased;
@@ -618,12 +647,18 @@
                 entry.answered(answer.end());
                 respond_with(answer)
             }
+            // The engine's guard is made for the slowest upload.
+            () = overdue(upload, patience) => {
+                entry.answered(End::Failed);
+                respond_with(Answer::Overdue)
+            }
             // Nobody is left to read this.
             () = socket.hung_up(may_ask) => plain(StatusCode::BAD_GATEWAY, "the client has gone"),
         };
         if let Some(forward) = &forward {
             forward.dress(&mut response);
         }
+        response.body_mut().carry(entry);
         response
     }
 }
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -13,6 +13,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// The descriptors that sockets may take.
 pub struct Descriptors {
@@ -78,6 +79,8 @@
     stalled: Cell<bool>,
     /// So many more bytes may come.
     room: Cell<usize>,
+    /// When bytes last came or went.
+    moved: Cell<Instant>,
     /// Where messages that have been written whole are counted.
     ledger: Option<Arc<Ledger>>,
     _permit: Permit,
@@ -102,6 +105,7 @@
             whole: Cell::new(false),
             stalled: Cell::new(false),
             room: Cell::new(usize::MAX),
+            moved: Cell::new(Instant::now()),
             ledger,
             _permit: permit,
         })
@@ -114,6 +118,16 @@
         self.whole.set(false);
     }
 
+    /// As many bytes as there are may come in answer from now on.
+    pub fn unbound(&self) {
+        self.room.set(usize::MAX);
+    }
+
+    /// When bytes last came or went.
+    pub fn moved(&self) -> Instant {
+        self.moved.get()
+    }
+
     /// Whether the message's last byte has been written.
     pub fn whole(&self) -> bool {
         self.whole.get()
@@ -166,7 +180,10 @@
                     return Poll::Ready(Err(io::Error::other("the answer does not end")));
                 }
                 Ok(n) => {
-                    self.0.room.set(self.0.room.get() - n);
+                    if self.0.room.get() != usize::MAX {
+                        self.0.room.set(self.0.room.get() - n);
+                    }
+                    self.0.moved.set(Instant::now());
                     return Poll::Ready(Ok(n));
                 }
                 failed => return Poll::Ready(failed),
@@ -188,6 +205,7 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 sent => {
                     self.0.begun.set(true);
+                    self.0.moved.set(Instant::now());
                     return Poll::Ready(sent);
                 }
             }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,15 +1,16 @@
 //! Connections to cache nodes and the origin, and one attempt on one of them with its outcome.
 
 use super::account::{self, Kind};
+use super::body::{beginning, LongAnswer, Upload, BODY_PATIENCE};
 use super::socket::{Descriptors, Io, Socket};
 use super::{Body, BODY_MOST, BUFFER_MOST};
 use crate::api::{Entry, Nanos, ServerId, Settings, State, Status};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{
     HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING,
 };
+use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use rushquay_fleet::Keep;
@@ -30,6 +31,8 @@
 /// So many bytes may come in answer to a request: a body, what frames it, and interim answers ahead. Danger: hyper
 /// reads on for as long as interim answers come, and hands none of them over.
 const ANSWER_MOST: usize = 2 * BODY_MOST;
+/// An answer of no told length is held for so long before it is passed on.
+const HOLD_MOST: Duration = Duration::from_millis(500);
 const LOOKUP: HeaderName = HeaderName::from_static("x-lookup");
 
 /// A client's request as it goes on to any cache node.
@@ -37,7 +40,30 @@
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: JobBody,
+}
+
+/// A request's body.
+pub enum JobBody {
+    /// Held whole.
+    Whole(Bytes),
+    /// Passed on as it comes.
+    Long(Rc<Upload>),
+}
+
+impl Job {
+    /// Its body, where that is passed on as it comes.
+    pub fn upload(&self) -> Option<&Rc<Upload>> {
+        match &self.body {
+            JobBody::Whole(_) => None,
+            JobBody::Long(upload) => Some(upload),
+        }
+    }
+
+    /// Whether an attempt could still send the whole of it.
+    pub fn may_send(&self) -> bool {
+        self.upload().is_none_or(|u| u.may_send())
+    }
 }
 
 /// What came of an attempt.
@@ -47,7 +73,7 @@
     pub code: u16,
     pub hit: Option<bool>,
     /// The answer, where it was served.
-    pub answer: Option<Response<Bytes>>,
+    pub answer: Option<Response<Body>>,
 }
 
 impl From<Status> for Ended {
@@ -337,7 +363,7 @@
 
     /// One attempt: at most `wait` long.
     pub async fn attempt(
-        &self,
+        self: &Rc<Self>,
         server: ServerId,
         job: &Job,
         wait: Duration,
@@ -356,7 +382,7 @@
     }
 
     async fn timed(
-        &self,
+        self: &Rc<Self>,
         server: ServerId,
         job: &Job,
         wait: Duration,
@@ -375,7 +401,7 @@
     }
 
     async fn exchange(
-        &self,
+        self: &Rc<Self>,
         server: ServerId,
         job: &Job,
         due: Instant,
@@ -417,7 +443,7 @@
                 return Status::ConnectFailed.into();
             };
             let closing = response.headers().get(CONNECTION).is_some_and(|v| v == "close");
-            let (mut ended, reusable) = read(response).await;
+            let Read { mut ended, reusable, long } = read(response).await;
             if !reused && ended.status == Status::Full && closing {
                 // Danger: a node whose table of connections is full closes a new one with such an answer, and serves
                 // those that it has. To be told so is to have no connection, which is not to meet a full queue.
@@ -429,7 +455,14 @@
             }
             let mut uses = 0;
             self.steer(kind, |keep| uses = keep.uses());
-            if reusable && connection.socket.whole() && connection.uses < uses {
+            let reusable = reusable && connection.uses < uses;
+            if let Some((head, held, rest, length)) = long {
+                // What comes from here on is bounded by what the client takes.
+                connection.socket.unbound();
+                let to = reusable.then(|| (self.clone(), server, epoch));
+                let answer = LongAnswer::new(held, rest, length, Returning { connection, to });
+                ended.answer = Some(Response::from_parts(head, Body::answer(answer)));
+            } else if reusable && connection.socket.whole() {
                 self.keep(server, epoch, connection);
             }
             return ended;
@@ -514,8 +547,26 @@
     }
 }
 
+/// A connection on which an answer still comes. Dropped, it closes.
+pub struct Returning {
+    connection: Connection,
+    to: Option<(Rc<Upstreams>, ServerId, u64)>,
+}
+
+impl Returning {
+    /// The answer has ended.
+    pub fn back(self) {
+        if let Some((upstreams, server, epoch)) = self.to.filter(|_| self.connection.socket.whole()) {
+            upstreams.keep(server, epoch, self.connection);
+        }
+    }
+}
+
 fn request(job: &Job, addr: SocketAddr, due: Instant) -> Request<Body> {
-    let mut request = Request::new(Body::new(job.body.clone()));
+    let mut request = Request::new(match &job.body {
+        JobBody::Whole(bytes) => Body::new(bytes.clone()),
+        JobBody::Long(upload) => Body::upload(upload),
+    });
     *request.method_mut() = job.method.clone();
     *request.uri_mut() = job.uri.clone();
     let headers = request.headers_mut();
@@ -533,38 +584,70 @@
 }
 
 /// Whether an answer's head is one that no node in its right mind sends: a switch of protocols, a length that
-/// contradicts itself or is over the limit, or none, so that a broken body could not be told from a whole one.
+/// contradicts itself, or none, so that a broken body could not be told from a whole one.
 fn spoilt(response: &Response<Incoming>) -> bool {
     let headers = response.headers();
     let (told, coded) = (headers.contains_key(CONTENT_LENGTH), headers.contains_key(TRANSFER_ENCODING));
     response.status().is_informational()
         || told && coded
-        || response.body().size_hint().lower() > BODY_MOST as u64
         || !told && !coded && !response.body().is_end_stream()
 }
 
-/// Reads an answer to its end; also tells whether the connection can carry another. Danger: passing on a body
-/// while it still comes would leave the client with half an answer when it breaks. What can't be read may have run.
-async fn read(response: Response<Incoming>) -> (Ended, bool) {
-    if spoilt(&response) {
-        return (Status::Reset.into(), false);
+/// An answer that was read to its end, or to the end of what is held.
+struct Read {
+    ended: Ended,
+    /// Whether the connection can carry another request behind it.
+    reusable: bool,
+    /// Of a long one: its head, what is held, what still comes, and the length of the whole.
+    long: Option<(Parts, Bytes, Incoming, Option<u64>)>,
+}
+
+impl Read {
+    fn spoilt() -> Self {
+        Read { ended: Status::Reset.into(), reusable: false, long: None }
     }
-    let (head, body) = response.into_parts();
-    let Ok(body) = Limited::new(body, BODY_MOST).collect().await else {
-        return (Status::Reset.into(), false);
+}
+
+/// Reads an answer to its end, if it is short. Danger: passing on a body while it still comes leaves the client with half an
+/// answer when it breaks, so that is done only with what is too long to be held. What can't be read may have run.
+async fn read(response: Response<Incoming>) -> Read {
+    if spoilt(&response) {
+        return Read::spoilt();
+    }
+    let (head, mut body) = response.into_parts();
+    let length = body.size_hint().exact();
+    let (held, whole) = match length {
+        Some(length) if length > BODY_MOST as u64 && head.status == StatusCode::OK => (Bytes::new(), false),
+        length => {
+            // Where no length is told it may be a long one, whose first bytes must not wait for long.
+            let hold = length.is_none().then_some(HOLD_MOST);
+            match beginning(&mut body, BODY_PATIENCE, hold).await {
+                Ok(read) => read,
+                Err(_) => return Read::spoilt(),
+            }
+        }
     };
-    let body = body.to_bytes();
     let unprocessed = head.headers.get(&UNPROCESSED).is_some_and(|v| v == "1");
     let status = match head.status {
         StatusCode::OK => Status::Ok,
+        // Only what is served is passed on.
+        _ if !whole => return Read::spoilt(),
         StatusCode::NOT_FOUND => Status::Miss,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Status::Full,
         _ => Status::Error,
     };
     let code = head.status.as_u16();
     let hit = head.headers.get(&LOOKUP).map(|v| v == "hit");
-    let answer = (status == Status::Ok).then(|| Response::from_parts(head, body));
-    (Ended { status, code, hit, answer }, true)
+    let mut ended = Ended { status, code, hit, answer: None };
+    let long = match (status, whole) {
+        (Status::Ok, false) => Some((head, held, body, length)),
+        (Status::Ok, true) => {
+            ended.answer = Some(Response::from_parts(head, Body::new(held)));
+            None
+        }
+        _ => None,
+    };
+    Read { ended, reusable: true, long }
 }
 
 #[cfg(test)]
@@ -580,8 +663,12 @@
         let upstreams = Upstreams::new(none, ledger, Duration::from_secs(30), &Settings::default());
         let entry = Entry { server: 1, ..Entry::default() };
         upstreams.update(true, &[(entry, node.local_addr().ok())]);
-        let job =
-            Job { method: Method::GET, uri: Uri::default(), headers: HeaderMap::new(), body: Bytes::new() };
+        let job = Job {
+            method: Method::GET,
+            uri: Uri::default(),
+            headers: HeaderMap::new(),
+            body: JobBody::Whole(Bytes::new()),
+        };
         let ended = upstreams
             .attempt(1, &job, Duration::from_secs(30), &Tether::default(), Importance::Default)
             .await;
