Let connections give way by evidence of progress, so that slow clients outlast a crowd

Cause: when places ran out, the connection that had been there for longest without a whole request went first (`yield_client` in src/net/server.rs sorted by `since`). A true client that takes two seconds to write its head is just that, among thousands that never finish. Seen in a test before the change: with the evidence of progress taken out its connection breaks in mid-head.

Change: crates/admission orders connections by what they do (mute, stopped, idle, fresh, writing), pure and tested, with a model of a table under a crowd; the server asks it in place of its own sort.

Ruled out: a larger part of the descriptors for clients (163 of 192 were in use, and nodes need theirs).

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,7 +2,7 @@
 
 use super::admin::{self, Operators};
 use super::asking::{asked, bad, class_of, closing, plain, respond_with, CORRELATION_ID};
-use super::body::Upload;
+use super::body::{steady, Upload};
 use super::config::Config;
 use super::control;
 use super::discovery::{self, Discovery};
@@ -25,6 +25,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::TokioIo;
+use rushquay_admission::{order, Evidence, Want};
 use rushquay_handover::{Holder, Share};
 use rushquay_nodes::Members;
 use rushquay_operate::{End, Ledger, Standing};
@@ -45,10 +46,6 @@
 
 /// A connection that has asked nothing for so long since it came, whatever part of a head it sent, is closed.
 const ASK_WITHIN: Duration = Duration::from_secs(2);
-/// Within this time a new connection is expected to ask.
-const ASK_SOON: Duration = Duration::from_millis(500);
-/// More than this part of the clients' connections that ask nothing are a flood.
-const SILENT_PART: usize = 4;
 /// A connection that is to make room does so within this time, or another is asked to.
 const YIELD_WITHIN: Duration = Duration::from_millis(2);
 /// A head that has begun comes whole within this time, and something of it within the other. The slowest that is well
@@ -116,6 +113,15 @@
         self.close.notify_one();
     }
 
+    /// What is known of it, for the choice of who gives way.
+    fn evidence(&self, now: Instant) -> Evidence {
+        let at = |then: Instant| {
+            steady().saturating_sub(now.saturating_duration_since(then).as_nanos() as api::Nanos)
+        };
+        let (asked, begun) = (self.seen.heads.get(), self.seen.head_since.get().is_some());
+        Evidence { asked, begun, since: at(self.since.get()), moved: at(self.socket.moved()) }
+    }
+
     /// Danger: silence, a head that does not end and an answer that is not read would each hold a descriptor for
     /// good.
     fn look(&self, now: Instant) {
@@ -448,12 +454,12 @@
         let permit = loop {
             if self.clients.borrow().len() >= self.clients_most() {
                 if !self.one_leaves() {
-                    self.yield_client(false);
+                    self.yield_client(Want::Place);
                 }
             } else if let Some(permit) = self.descriptors.take() {
                 break permit;
             } else if !self.front.yield_idle() && !self.one_leaves() {
-                self.yield_client(false);
+                self.yield_client(Want::Place);
             }
             // Danger: who was sent away may have asked just then and stays until it has its answer; the next one
             // must not wait for that.
@@ -464,28 +470,19 @@
         // them none to ask on.
         let staying = self.clients.borrow().iter().filter(|c| !c.closing.get()).count();
         if staying > self.clients_most() / 2 {
-            self.yield_client(true);
+            self.yield_client(Want::Slack);
         }
     }
 
-    /// Ends the client's connection that has been without a request for longest; `spare` leaves what has just come,
-    /// and all while a flood comes.
-    /// Danger: a flood of connections that say nothing must push out one another, and not those that ask; but what
-    /// has just come and is about to ask must not go before those that have their answer.
-    fn yield_client(&self, spare: bool) {
-        let clients = self.clients.borrow();
-        let mut idle: Vec<_> = clients.iter().filter(|c| !c.busy.get() && !c.closing.get()).collect();
-        let now = Instant::now();
-        let asks = |c: &Client| c.seen.heads.get() > 0 && c.seen.head_since.get().is_none();
-        let flood = idle.iter().filter(|c| !asks(c)).count() > self.clients_most() / SILENT_PART;
-        let about_to_ask = |c: &Client| !asks(c) && !flood && now - c.since.get() < ASK_SOON;
-        if spare && flood {
-            return;
-        }
-        idle.retain(|c| !(spare && about_to_ask(c)));
-        idle.sort_by_key(|c| (about_to_ask(c), asks(c), c.since.get()));
-        if let Some(client) = idle.iter().find(|c| c.socket.silent()).or(idle.first()) {
-            client.end();
+    /// Asks a client's connection to end, if one is to give way; of several alike one that has sent nothing more.
+    fn yield_client(&self, want: Want) {
+        let (clients, now) = (self.clients.borrow(), Instant::now());
+        let idle: Vec<_> = clients.iter().filter(|c| !c.busy.get() && !c.closing.get()).collect();
+        let evidence: Vec<Evidence> = idle.iter().map(|c| c.evidence(now)).collect();
+        let order = order(&evidence, steady(), self.clients_most(), want);
+        let silent = order.iter().find(|n| idle[**n].socket.silent());
+        if let Some(n) = silent.or(order.first()) {
+            idle[*n].end();
         }
     }
 
