Test answers in the midst of a body and HTTP/1.0 clients of long answers

Change: two cases in tests/bodies.rs; no code.

Measured: both pass as the program stands. Without closing behind an early answer the first would read on; the second fails where chunks are sent to HTTP/1.0 (neither was mutated).

--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -335,3 +335,43 @@
     let held = peak(&r.proxy) - before;
     assert!(held < 2 * LENGTH, "{} MB held beside {}", held / MB, before / MB);
 }
+
+/// Danger: a node that answers before it has the whole body has not asked for the rest; its connection can carry nothing more.
+#[test]
+fn an_answer_in_the_midst_of_a_body_is_passed_on_and_both_connections_end() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    client.write(&format!(
+        "PUT /set/1 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: up\r\nIdempotency-Key: k\r\nContent-Length: {MB}\r\n\r\n"
+    ));
+    client.0.get_mut().write_all(&part(0, 200_000)).expect("written");
+    let mut origin = r.origin.take();
+    head(&mut origin);
+    read(&mut origin, 100_000);
+    origin.reply("200 OK", "", "early");
+    assert_eq!(client.answer().body, b"early");
+    let mut rest = Vec::new();
+    let _ = origin.0.read_to_end(&mut rest);
+    assert!(rest.len() < MB - 100_000, "nothing more goes out for it");
+    assert!(r.origin.none_came());
+}
+
+/// A client of HTTP/1.0 knows no chunks: the end of its connection is the end of its answer.
+#[test]
+fn a_client_of_http_1_0_gets_a_long_answer_up_to_the_close() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    client.write("GET /read/1 HTTP/1.0\r\nX-Correlation-Id: old\r\n\r\n");
+    let mut node = r.cache.take();
+    assert!(node.request().line.ends_with("HTTP/1.1"));
+    node.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let whole = part(0, 200_000);
+    node.write(&format!("{:x}\r\n", whole.len()));
+    node.0.get_mut().write_all(&whole).expect("written");
+    node.write("\r\n0\r\n\r\n");
+    let told = head(&mut client);
+    assert!(!told.contains("transfer-encoding"), "{told}");
+    let mut got = Vec::new();
+    client.0.read_to_end(&mut got).expect("the end");
+    assert_eq!(digest(&got), digest(&whole));
+}
