Say yes to operators only once the old process knows and the next one could be handed over to

Cause: tests/upgrade.rs failed now and then. By the same order SIGTERM could reach the old process before it had read that it has a successor.

Change: the yes comes last; the old process answers `heard` to `ready`, for which the new one waits a second at most.

Ruled out: addresses and ports (each test has its own), directories left by earlier runs, processes of other tests.

--- a/crates/handover/src/form.rs
+++ b/crates/handover/src/form.rs
@@ -40,6 +40,8 @@
         /// The node list as the old process has it, in discovery's form; null: it has none.
         list: Value,
     },
+    /// It has heard that the new process serves.
+    Heard,
     /// Another new process is coming up.
     Busy,
     /// None of the forms is known.
--- a/crates/handover/src/holder.rs
+++ b/crates/handover/src/holder.rs
@@ -12,6 +12,8 @@
 pub enum Reply {
     /// This, with the listening socket.
     WithListener(ToNew),
+    /// This alone, and the connection goes on.
+    And(ToNew),
     /// This alone, and then the connection ends.
     Only(ToNew),
 }
@@ -72,10 +74,13 @@
             ToOld::Hello { forms } => Some(self.hello(by, forms, held, list)),
             ToOld::Ready => {
                 // One that was not offered anything can't take over.
-                if self.state == State::Offered(by) {
-                    self.state = State::Succeeded(by);
+                if self.state != State::Offered(by) {
+                    return None;
                 }
-                None
+                self.state = State::Succeeded(by);
+                // Danger: a new process that says yes before this is known here has the old one told to end as if it had no
+                // successor.
+                Some(Reply::And(ToNew::Heard))
             }
         }
     }
--- a/crates/handover/tests/handover.rs
+++ b/crates/handover/tests/handover.rs
@@ -31,7 +31,8 @@
     let new = offered(old.said(Peer(2), &hello(), 300, Value::Null));
     assert_eq!(new.sockets, 84);
     assert!(!old.succeeded());
-    assert_eq!(old.said(Peer(2), &ToOld::Ready, 0, Value::Null), None);
+    assert_eq!(old.said(Peer(2), &ToOld::Ready, 0, Value::Null), Some(Reply::And(ToNew::Heard)));
+    assert_eq!(old.said(Peer(2), &ToOld::Ready, 0, Value::Null), None, "told twice");
     assert!(old.succeeded());
     old.lost(Peer(2));
     assert!(!old.succeeded(), "the successor is gone, so it has to serve alone");
@@ -123,7 +124,7 @@
 #[test]
 fn messages_come_back_as_they_went_and_spoilt_ones_are_named() {
     let offer = ToNew::Offer { form: 1, sockets: 3, memory: 4, list: json!({"version": 1}) };
-    for message in [offer, ToNew::Busy, ToNew::Unknown { forms: vec![1, 2] }] {
+    for message in [offer, ToNew::Heard, ToNew::Busy, ToNew::Unknown { forms: vec![1, 2] }] {
         let bytes = message.bytes();
         let length = ToNew::length([bytes[0], bytes[1], bytes[2], bytes[3]]).expect("a length");
         assert_eq!(length, bytes.len() - 4);
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -38,10 +38,18 @@
 pub struct Link(UnixStream);
 
 impl Link {
-    /// Tells it that this process serves.
+    /// Tells it that this process serves, and returns once it knows, or has ended, or has let its time pass.
     pub async fn ready(&mut self) {
-        if let Err(e) = self.0.write_all(&ToOld::Ready.bytes()).await {
-            log(format_args!("the old process can't be told that this one serves: {e}"));
+        let told = async {
+            self.0.write_all(&ToOld::Ready.bytes()).await?;
+            // It says nothing but that.
+            let mut heard = vec![0; ToNew::Heard.bytes().len()];
+            self.0.read_exact(&mut heard).await.map(drop)
+        };
+        match timeout(ANSWER_WITHIN, told).await {
+            Ok(Ok(())) => {}
+            Ok(Err(e)) => log(format_args!("the old process can't be told that this one serves: {e}")),
+            Err(_) => log("the old process does not answer that it knows this one serves"),
         }
     }
 
@@ -268,7 +276,11 @@
             let Some(said) = next else { return Ok(()) };
             let reply = self.machine.borrow_mut().said(peer, &said, self.me.held(), self.me.list());
             match reply {
-                None => log("a new process serves; this one ends when it is told to"),
+                None => {}
+                Some(Reply::And(said)) => {
+                    stream.write_all(&said.bytes()).await?;
+                    log("a new process serves; this one ends when it is told to");
+                }
                 Some(Reply::Only(said)) => return stream.write_all(&said.bytes()).await,
                 Some(Reply::WithListener(said)) => {
                     let listener = self.listener.borrow().clone();
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -300,8 +300,6 @@
             listening::listen(socket).map_err(|e| format!("PROXY_LISTEN: {bound}: {e}"))?
         }
     };
-    server.serving.set(true);
-    server.tell_operators();
     let listener = Rc::new(listener);
     let holder = if beside || link.is_some() { Holder::beside(whole, share) } else { Holder::new(whole) };
     let keeper = Keeper::start(place.as_deref(), listener.clone(), holder, server.clone());
@@ -319,6 +317,9 @@
             left.alone();
         });
     }
+    // Danger: whoever is told yes may at once end the old process, or start the next version. Both must find all ready.
+    server.serving.set(true);
+    server.tell_operators();
     tokio::select! {
         biased;
         () = stop => {}
