--- a/crates/state/tests/shared.rs
+++ b/crates/state/tests/shared.rs
@@ -1,7 +1,7 @@
 //! A file that instances on one machine share: who leads, and that nobody else writes.
 
 use rushquay_overrides::Policy;
-use rushquay_state::{Campaign, Change, Held, RecordChange, SharedError, SharedFile, SharedState};
+use rushquay_state::{Campaign, Change, Held, RecordChange, SharedError, SharedFile, SharedState, StateStore};
 use serde_json::json;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -126,3 +126,35 @@
         .expect("kept");
     assert_eq!(b.load_records().expect("read").len(), 0);
 }
+
+/// Danger: an instance that is stopped in the middle of a call (SIGSTOP, a machine that is suspended, a disk that hangs) holds the
+/// file for as long as it stands still, and nobody would lead meanwhile.
+#[test]
+fn a_stopped_instance_that_holds_the_file_keeps_nobody_from_leading() {
+    let rig = Rig::new("stopped");
+    let (a, b) = (rig.instance("boot"), rig.instance("boot"));
+    let old = won(a.campaign("a", TTL));
+    a.keep(old, &version(41)).expect("kept");
+    let record = |n: u64| RecordChange { set: [("change".to_owned(), json!(n))].into(), gone: Vec::new() };
+    a.keep_records(old, &record(1)).expect("kept");
+    // What a stopped process holds: the open file, in the middle of a call.
+    let held = StateStore::open(&rig.path).expect("opened");
+    rig.pass(TTL + Duration::from_secs(1));
+    let start = std::time::Instant::now();
+    let new = loop {
+        match b.campaign("b", TTL) {
+            Ok(Campaign::Won(held)) => break held,
+            other => assert!(start.elapsed() < Duration::from_secs(20), "{other:?}"),
+        }
+    };
+    assert!(new.epoch > old.epoch);
+    assert_eq!(b.load(Policy::default()).expect("loaded").0.version, Some(41));
+    b.keep_records(new, &record(2)).expect("kept");
+    // It wakes up: what it was doing comes to nothing.
+    held.keep_records(&record(3)).expect("written to what nobody reads");
+    drop(held);
+    assert!(matches!(a.renew(old), Err(SharedError::Fenced(_))));
+    assert!(matches!(a.keep_records(old, &record(4)), Err(SharedError::Fenced(_))));
+    assert_eq!(a.load_records().expect("loaded")["change"], json!(2));
+    b.renew(new).expect("renewed");
+}
--- /dev/null
+++ b/tests/pipelined.rs
@@ -0,0 +1,119 @@
+//! Requests that stand behind others on their connection: their time runs from when they came, not from when their turn comes.
+
+mod rig;
+use rig::*;
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+fn id(message: &Message) -> &str {
+    message.header("x-correlation-id").expect("an id")
+}
+
+fn time_left(message: &Message) -> f64 {
+    message.header("x-time-left").and_then(|t| t.parse().ok()).expect("a time")
+}
+
+/// A proxy with one node whose classes give this time.
+fn rig_within(deadline: Duration) -> Rig {
+    let (cache, origin, discovery) = (Server::new(), Server::new(), Server::new());
+    let servers = [member("c1", cache.addr, "std", "ready"), member("o1", origin.addr, "origin", "ready")];
+    let mut told = config(discovery.addr, &servers);
+    for class in told["settings"]["categories"].as_array_mut().expect("classes") {
+        class["deadline_ns"] = json!(deadline.as_nanos() as u64);
+        class["promise_ns"] = json!(deadline.as_nanos() as u64);
+    }
+    Rig { proxy: Proxy::new(&told), cache, origin, discovery }
+}
+
+/// Danger: the node would work on for a client that has long stopped waiting.
+#[test]
+fn a_request_behind_another_is_sent_on_with_the_time_that_its_client_has_left() {
+    const HELD: Duration = Duration::from_millis(700);
+    let r = rig();
+    let mut client = r.proxy.client();
+    let told = "X-Time-Left: 5.000\r\n";
+    client.write(&(get_as("one", "read", told) + &get_as("two", "read", told)));
+    let asked = Instant::now();
+    let mut node = r.cache.take();
+    assert_eq!(id(&node.request()), "one");
+    std::thread::sleep(HELD);
+    node.reply("200 OK", "X-Lookup: hit\r\n", "one");
+    let behind = node.request();
+    assert_eq!(id(&behind), "two");
+    let left = 5.0 - asked.elapsed().as_secs_f64();
+    assert!(time_left(&behind) <= left + 0.15, "{} of {left} s", time_left(&behind));
+    node.reply("200 OK", "X-Lookup: hit\r\n", "two");
+    assert_eq!((client.answer().body, client.answer().body), (b"one".to_vec(), b"two".to_vec()));
+}
+
+/// Danger: each hung request would have its whole time after the one before it, and the process ends meanwhile.
+#[test]
+fn what_stands_behind_a_hung_request_is_answered_before_the_process_ends() {
+    let mut r = rig_within(Duration::from_secs(1));
+    let mut client = r.proxy.client();
+    let all: String = (0..5).map(|n| get_as(&format!("n{n}"), "order", "X-Time-Left: 1.000\r\n")).collect();
+    client.write(&all);
+    let mut node = r.cache.take();
+    assert_eq!(id(&node.request()), "n0");
+    r.proxy.signal("-TERM");
+    for n in 0..5 {
+        let answer = client.read().unwrap_or_else(|| panic!("no answer to request {n}"));
+        assert!(answer.status() >= 400, "{n}: {}", answer.status());
+    }
+    assert_eq!(client.read(), None);
+    assert_eq!(r.proxy.child.wait().expect("ended").code(), Some(0));
+}
+
+/// Danger: a client that sends on and on would hold its connection up to the end of the process, and what was read last would be
+/// dropped unanswered.
+#[test]
+fn a_client_that_sends_on_during_a_drain_gets_a_last_answer() {
+    let mut r = rig_within(Duration::from_secs(2));
+    let mut client = r.proxy.client();
+    client.write(&get_as("n0", "read", ""));
+    let mut node = r.cache.take();
+    assert_eq!(id(&node.request()), "n0");
+    r.proxy.signal("-TERM");
+    r.proxy.logged("draining");
+    let mut closing = false;
+    let mut answered = 0;
+    // What comes now has not been read when the drain begins.
+    for n in 1..40 {
+        client.write(&get_as(&format!("n{n}"), "read", ""));
+    }
+    node.reply("200 OK", "X-Lookup: hit\r\n", "");
+    std::thread::spawn(move || {
+        while node.read().is_some() {
+            node.reply("200 OK", "X-Lookup: hit\r\n", "");
+        }
+    });
+    while let Some(answer) = client.read() {
+        assert!(!closing, "an answer behind the one that says close");
+        answered += 1;
+        closing = answer.header("connection").is_some_and(|c| c == "close");
+    }
+    assert!(closing, "the connection ended behind {answered} answers and none said so");
+    assert_eq!(r.proxy.child.wait().expect("ended").code(), Some(0));
+}
+
+/// Danger: a request whose first half has been read would be dropped by the drain while its client still writes the rest.
+#[test]
+fn a_request_whose_first_half_came_before_the_drain_is_answered() {
+    let mut r = rig_within(Duration::from_secs(2));
+    let mut client = r.proxy.client();
+    let request = get_as("halved", "read", "");
+    let (first, rest) = request.split_at(40);
+    client.write(first);
+    // The next answers come after the half has been read.
+    (0..3).for_each(|_| assert_eq!(r.proxy.health(), 200));
+    r.proxy.signal("-TERM");
+    r.proxy.logged("draining");
+    // Longer than connections are still accepted.
+    std::thread::sleep(Duration::from_millis(800));
+    client.write(rest);
+    let mut node = r.cache.take();
+    assert_eq!(id(&node.request()), "halved");
+    node.reply("200 OK", "X-Lookup: hit\r\n", "whole");
+    assert_eq!(client.answer().body, b"whole");
+    assert_eq!(r.proxy.child.wait().expect("ended").code(), Some(0));
+}
