--- a/crates/operate/src/figures.rs
+++ b/crates/operate/src/figures.rs
@@ -1,6 +1,7 @@
 //! The figures as text. Each line is `name value` or `name{lane="class"} value`.
 
-use crate::{End, Ledger};
+use crate::{End, Ledger, Tally};
+use rushquay_guard::Label;
 use std::fmt::Write as _;
 
 /// All figures, a line each, and the line that ends them.
@@ -21,10 +22,25 @@
     for (name, value) in rest {
         let _ = writeln!(text, "proxy_{name} {value}");
     }
+    by_label(&mut text, "retries", "after", &ledger.retries);
+    by_label(&mut text, "refusals", "after", &ledger.refusals);
+    by_label(&mut text, "failures", "after", &ledger.failures);
+    by_label(&mut text, "attempts_denied", "cause", &ledger.denied);
+    by_label(&mut text, "client_closes", "cause", &ledger.closes);
+    by_label(&mut text, "node_closes", "cause", &ledger.node_closes);
+    by_label(&mut text, "violations", "rule", &ledger.violations);
     text.push_str(".\n");
     text
 }
 
+/// A figure by label: those that were counted, and the total.
+fn by_label<L: Label>(text: &mut String, name: &str, label: &str, tally: &Tally<L>) {
+    for (value, count) in tally.counted() {
+        let _ = writeln!(text, "proxy_{name}{{{label}=\"{}\"}} {count}", value.name());
+    }
+    let _ = writeln!(text, "proxy_{name}_total {}", tally.total());
+}
+
 /// A label's value in the text format of metrics.
 fn escaped(label: &str) -> String {
     label.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
--- a/crates/operate/src/ledger.rs
+++ b/crates/operate/src/ledger.rs
@@ -1,5 +1,7 @@
 //! The account that each request passes through exactly once at its end, and each attempt when it has been written whole.
 
+use crate::{Cause, NodeCloseCause, Tally};
+use rushquay_guard::{CloseCause, SendDenied, Violation};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
@@ -72,6 +74,20 @@
     pub members: Count,
     /// Of these, those that the proxy avoids now.
     pub unavailable: Count,
+    /// Further attempts, by how the one before ended.
+    pub retries: Tally<Cause>,
+    /// Refused requests, by how their last attempt ended.
+    pub refusals: Tally<Cause>,
+    /// Failed requests, by how their last attempt ended.
+    pub failures: Tally<Cause>,
+    /// Attempts that were denied at their last look, by reason.
+    pub denied: Tally<SendDenied>,
+    /// Clients' connections that ended, by reason.
+    pub closes: Tally<CloseCause>,
+    /// Connections to nodes that ended, by reason.
+    pub node_closes: Tally<NodeCloseCause>,
+    /// Rules that were broken.
+    pub violations: Tally<Violation>,
     standing: Count,
 }
 
--- /dev/null
+++ b/crates/operate/src/tally.rs
@@ -0,0 +1,47 @@
+//! Figures that are counted by label.
+
+use crate::Count;
+use rushquay_guard::Label;
+use std::fmt;
+use std::marker::PhantomData;
+
+/// A count for each value of a label. One thread counts and others read.
+pub struct Tally<L> {
+    counts: Vec<Count>,
+    label: PhantomData<fn() -> L>,
+}
+
+impl<L: Label> Default for Tally<L> {
+    fn default() -> Self {
+        Tally { counts: L::ALL.iter().map(|_| Count::default()).collect(), label: PhantomData }
+    }
+}
+
+impl<L: Label> fmt::Debug for Tally<L> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_map().entries(self.counted().map(|(label, count)| (label.name(), count))).finish()
+    }
+}
+
+impl<L: Label> Tally<L> {
+    /// One more of a value.
+    pub fn one_more(&self, label: L) {
+        self.counts[label.index()].one_more();
+    }
+
+    /// How many of a value were counted.
+    pub fn get(&self, label: L) -> u64 {
+        self.counts[label.index()].get()
+    }
+
+    /// How many were counted in all.
+    pub fn total(&self) -> u64 {
+        self.counts.iter().map(Count::get).sum()
+    }
+
+    /// The values that were counted, each with its count.
+    pub fn counted(&self) -> impl Iterator<Item = (L, u64)> + '_ {
+        let all = L::ALL.iter().map(|label| (*label, self.get(*label)));
+        all.filter(|(_, count)| *count > 0)
+    }
+}
--- /dev/null
+++ b/crates/sockets/src/class.rs
@@ -0,0 +1,23 @@
+//! Errors of socket calls by what has to be done about them.
+
+use std::io;
+
+/// What an error of a socket call says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ErrorClass {
+    /// Nothing: the call is to be made again.
+    Repeat,
+    /// The peer has gone, or this connection with it.
+    PeerGone,
+    /// This machine lacks descriptors, ports, buffers or memory. It says nothing of any peer.
+    Shortage,
+    /// There is no way to the peer.
+    NoRoute,
+    /// Anything else: the address is refused, or the call is wrong.
+    Other,
+}
+
+/// The class of an error. So far all are alike.
+pub fn classify(_: &io::Error) -> ErrorClass {
+    ErrorClass::Other
+}
--- a/crates/state/tests/shared.rs
+++ b/crates/state/tests/shared.rs
@@ -1,7 +1,9 @@
 //! A file that instances on one machine share: who leads, and that nobody else writes.
 
 use rushquay_overrides::Policy;
-use rushquay_state::{Campaign, Change, Held, RecordChange, SharedError, SharedFile, SharedState, StateStore};
+use rushquay_state::{
+    Campaign, Change, Held, RecordChange, SharedError, SharedFile, SharedState, StateStore,
+};
 use serde_json::json;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -1,6 +1,7 @@
 //! Answers operators on a thread of its own: one line to a connection. It reads the ledger and nothing else of the proxy.
 
 use rushquay_operate::{figures, Call, Ledger, Line, Places, Standing, Ticket, LINE_MOST};
+use rushquay_sockets::{accept as accept_one, RetryStream};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -84,7 +85,7 @@
     };
     let callers = Rc::new(RefCell::new(Callers { places: Places::new(PLACES), calls: HashMap::new() }));
     loop {
-        let stream = match listener.accept().await {
+        let stream = match accept_one(&listener).await {
             Ok((stream, _)) => stream,
             Err(e) => {
                 // Danger: without descriptors accept fails at once, and again, and again.
@@ -109,7 +110,8 @@
 }
 
 /// Answers one call, if one comes.
-async fn answer(mut stream: TcpStream, ledger: &Ledger) {
+async fn answer(stream: TcpStream, ledger: &Ledger) {
+    let mut stream = RetryStream::new(stream);
     let mut came = Vec::with_capacity(LINE_MOST);
     let line = timeout(LINE_WITHIN, async {
         loop {
--- a/src/net/asking.rs
+++ b/src/net/asking.rs
@@ -1,13 +1,14 @@
 //! A client's request read into the module's terms, and the module's answers as responses.
 
 use super::acting::Acting;
-use super::body::{beginning, Unread, Upload, BODY_PATIENCE};
+use super::body::{beginning, Unread, Upload, CLIENT_PATIENCE};
 use super::engine::{Asked, Engine};
+use super::headers::{CORRELATION_ID, TIME_LEFT};
+use super::job::{Job, JobBody};
 use super::names::key;
 use super::policy::Policy;
 use super::responses::strip;
 use super::routed::Forward;
-use super::upstream::{Job, JobBody, TIME_LEFT};
 use crate::api::{self, Nanos};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderName, HeaderValue};
@@ -15,7 +16,6 @@
 use hyper::{Method, StatusCode};
 use std::rc::Rc;
 
-pub const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
 const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
 const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
@@ -78,7 +78,7 @@
     let mut body = body;
     let length = body.size_hint().exact();
     // Danger: a client that stalls in the midst of its body would keep its connection, which counts as busy.
-    let (held, whole) = beginning(&mut body, BODY_PATIENCE, None).await.map_err(|e| match e {
+    let (held, whole) = beginning(&mut body, CLIENT_PATIENCE, None).await.map_err(|e| match e {
         Unread::Stopped => (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
         Unread::Broken => (StatusCode::BAD_REQUEST, "the body is broken"),
     })?;
--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -16,8 +16,11 @@
 
 /// Bodies of at most this length are held whole.
 pub const BODY_MOST: usize = 64 << 10;
-/// A peer that sends a body may be so slow. The slowest that is well sends 64 kB a second after two.
-pub const BODY_PATIENCE: Patience = Patience { silent: 3 * SECOND, start: 4 * SECOND, rate: 16_000 };
+/// A client that sends a body may be so slow. The slowest that is well sends 64 kB a second after two; one that has stopped is owed
+/// its answer within 3 s, and what stands still is found out a little later than it is due.
+pub const CLIENT_PATIENCE: Patience = Patience { silent: 2_700_000_000, start: 4 * SECOND, rate: 16_000 };
+/// The same of a node.
+pub const NODE_PATIENCE: Patience = Patience { silent: 3 * SECOND, start: 4 * SECOND, rate: 16_000 };
 /// A node that answers may be so slow, once its answer has begun.
 const ANSWER_PATIENCE: Patience = Patience { silent: 10 * SECOND, start: 0, rate: 0 };
 
@@ -61,7 +64,7 @@
             of: upload.clone(),
             sent: false,
             rest: None,
-            watch: Watch::new(BODY_PATIENCE),
+            watch: Watch::new(CLIENT_PATIENCE),
         })))
     }
 
@@ -266,7 +269,7 @@
         }
         if self.rest.is_none() {
             self.rest = self.of.past();
-            self.watch = Watch::new(BODY_PATIENCE);
+            self.watch = Watch::new(CLIENT_PATIENCE);
         }
         let behind = self.of.length.map(|length| length.saturating_sub(self.of.beginning.len() as u64));
         let Some(rest) = &mut self.rest else {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,10 +1,12 @@
 //! A client's connection, as others see it: what it has asked, whether it is busy, and how it ends.
 
 use super::body::steady;
-use super::gate::Seen;
-use super::socket::{Permit, Socket};
+use super::descriptors::Permit;
+use super::intake::{Behind, Intake};
+use super::socket::Socket;
 use crate::api;
 use rushquay_admission::Evidence;
+use rushquay_guard::{CloseCause, ConnectionFacts};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,16 +30,20 @@
 
 /// A client's connection, as others see it.
 pub struct Client {
+    /// Its number in this process, for the trace.
+    pub number: u64,
     pub socket: Rc<Socket>,
-    pub seen: Rc<Seen>,
+    pub intake: Rc<Intake>,
     pub busy: Cell<bool>,
+    /// It speaks HTTP/1.0, where the end of the connection may be the end of an answer.
+    pub ends_by_close: Cell<bool>,
     came: Instant,
     /// When it came or was last answered.
     since: Cell<Instant>,
-    pub close: Notify,
-    pub closing: Cell<bool>,
-    /// Closing does not wait until an answer has been taken.
-    pub dropped: Cell<bool>,
+    /// Wakes the connection's own task when it is to end.
+    pub ending: Notify,
+    /// Why it ends; `None`: it does not.
+    cause: Cell<Option<CloseCause>>,
     /// All is said; the peer is given time to read it.
     pub lingering: Cell<bool>,
     /// Its place is needed at once.
@@ -45,38 +51,70 @@
 }
 
 impl Client {
-    pub fn new(stream: TcpStream, permit: Permit) -> Rc<Self> {
+    pub fn new(number: u64, stream: TcpStream, permit: Permit) -> Rc<Self> {
         let came = Instant::now();
         Rc::new(Client {
+            number,
             socket: Socket::new(stream, permit),
-            seen: Rc::default(),
+            intake: Rc::default(),
             busy: Cell::new(false),
+            ends_by_close: Cell::new(false),
             came,
             since: Cell::new(came),
-            close: Notify::new(),
-            closing: Cell::new(false),
-            dropped: Cell::new(false),
+            ending: Notify::new(),
+            cause: Cell::new(None),
             lingering: Cell::new(false),
             hurry: Notify::new(),
         })
     }
 
-    /// Lets the connection end after the request that it has, if any.
-    pub fn end(&self) {
-        self.closing.set(true);
-        self.close.notify_one();
+    /// Has the connection end as soon as nothing is owed on it. The first cause stands, unless a later one no longer waits.
+    pub fn end(&self, cause: CloseCause) {
+        let at_once = !matches!(cause, CloseCause::Idle | CloseCause::Drain);
+        if self.cause.get().is_none() || at_once {
+            self.cause.set(Some(cause));
+        }
+        self.ending.notify_one();
+    }
+
+    /// Why it ends; `None`: it does not.
+    pub fn cause(&self) -> Option<CloseCause> {
+        self.cause.get()
+    }
+
+    /// Whether it is to end.
+    pub fn closing(&self) -> bool {
+        self.cause.get().is_some()
+    }
+
+    /// What is known of it, for the guard of closes.
+    pub fn facts(&self) -> ConnectionFacts {
+        let behind = self.intake.behind();
+        ConnectionFacts {
+            answering: self.busy.get(),
+            read_behind: behind == Behind::Request,
+            head_begun: behind == Behind::Part || !self.busy.get() && self.intake.head_since.get().is_some(),
+            unwritten: self.socket.stalled(),
+            peer_gone: false,
+        }
     }
 
     /// Gives the peer time to read its last answer.
     pub async fn linger(&self) {
-        let left = LINGER.saturating_sub(self.since.get().elapsed());
+        let cause = self.cause.get().unwrap_or(CloseCause::AnswerSaidSo);
+        self.cause.set(Some(cause));
+        // Danger: an orderly end would make a part of an answer look whole.
+        if cause == CloseCause::BrokenAnswer {
+            return;
+        }
         self.socket.end();
+        let left = LINGER.saturating_sub(self.since.get().elapsed());
+        let hurried = matches!(cause, CloseCause::NotRead | CloseCause::NoRequest);
         // Danger: one that has sent another request waits for the end of the connection to send it elsewhere.
-        if self.dropped.get() || left.is_zero() || self.socket.silent() {
+        if hurried || left.is_zero() || self.socket.silent() {
             return;
         }
         self.lingering.set(true);
-        self.closing.set(true);
         tokio::select! {
             () = self.socket.peer_ended() => {}
             () = self.hurry.notified() => {}
@@ -89,28 +127,30 @@
         let at = |then: Instant| {
             steady().saturating_sub(now.saturating_duration_since(then).as_nanos() as api::Nanos)
         };
-        let (asked, begun) = (self.seen.heads.get(), self.seen.head_since.get().is_some());
+        let (asked, begun) = (self.intake.heads.get(), self.intake.head_since.get().is_some());
         Evidence { asked, begun, since: at(self.since.get()), moved: at(self.socket.moved()) }
     }
 
-    /// Danger: silence, a head that does not end and an answer that is not read would each hold a descriptor for
-    /// good.
+    /// Ends what stands still. Danger: silence, a head that does not end and an answer that is not read would each hold a
+    /// descriptor for good.
     pub fn look(&self, now: Instant) {
         let over = |from: Instant, most: Duration| now.saturating_duration_since(from) > most;
         let moved = self.socket.moved();
-        let mut overdue = self.socket.stalled() && over(moved, TAKE_WITHIN);
-        if !self.busy.get() {
-            overdue |= match self.seen.head_since.get() {
-                // Who writes slowly is told from who has stopped by what has come lately.
-                Some(since) => over(since, HEAD_WITHIN) || over(moved, HEAD_SILENT),
-                None => self.seen.heads.get() == 0 && over(self.came, ASK_WITHIN),
-            };
+        if self.socket.stalled() && over(moved, TAKE_WITHIN) {
+            return self.end(CloseCause::NotRead);
         }
-        if overdue {
-            self.dropped.set(true);
-            self.end();
-        } else if !self.busy.get() && over(self.since.get(), IDLE_MOST) && self.socket.silent() {
-            self.end();
+        if self.busy.get() {
+            return;
+        }
+        let stopped = match self.intake.head_since.get() {
+            // Who writes slowly is told from who has stopped by what has come lately.
+            Some(since) => over(since, HEAD_WITHIN) || over(since.max(moved), HEAD_SILENT),
+            None => self.intake.heads.get() == 0 && over(self.came, ASK_WITHIN),
+        };
+        if stopped {
+            self.end(CloseCause::NoRequest);
+        } else if over(self.since.get(), IDLE_MOST) && self.socket.silent() {
+            self.end(CloseCause::Idle);
         }
     }
 }
--- /dev/null
+++ b/src/net/descriptors.rs
@@ -0,0 +1,58 @@
+//! The budget of descriptors that all sockets of the proxy share.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// The descriptors that sockets may take.
+pub struct Descriptors {
+    most: Cell<usize>,
+    taken: Cell<usize>,
+    freed: Notify,
+}
+
+impl Descriptors {
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(Descriptors { most: Cell::new(most), taken: Cell::new(0), freed: Notify::new() })
+    }
+
+    /// How many there are, taken or not.
+    pub fn most(&self) -> usize {
+        self.most.get()
+    }
+
+    /// How many are taken; may be more than there are, after there were more.
+    pub fn taken(&self) -> usize {
+        self.taken.get()
+    }
+
+    /// So many there are from now on.
+    pub fn resize(&self, most: usize) {
+        self.most.set(most);
+        self.freed.notify_one();
+    }
+
+    /// Takes one, if any is free.
+    pub fn take(self: &Rc<Self>) -> Option<Permit> {
+        if self.taken.get() >= self.most.get() {
+            return None;
+        }
+        self.taken.set(self.taken.get() + 1);
+        Some(Permit(self.clone()))
+    }
+
+    /// Waits until one is given back.
+    pub async fn freed(&self) {
+        self.freed.notified().await;
+    }
+}
+
+/// A descriptor taken from the budget; it returns when this is dropped.
+pub struct Permit(Rc<Descriptors>);
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.0.taken.set(self.0.taken.get() - 1);
+        self.0.freed.notify_one();
+    }
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,8 +1,9 @@
 //! Follows the list of cache nodes at discovery: one call after another, each when [`Follow`] says.
 
 use super::account::{self, Kind};
+use super::descriptors::Descriptors;
 use super::nodes::NodeList;
-use super::socket::{Descriptors, Io, Socket};
+use super::socket::{Io, Socket};
 use super::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -10,12 +11,12 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use rushquay_nodes::{Answer, Cursor, Failure, Follow, Manner, Members, Step};
+use rushquay_sockets::connect;
 use rushquay_xds::client::Outage;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
 /// A connection comes up within this time, or has failed.
@@ -173,9 +174,9 @@
 
     async fn connect(&self) -> Result<SendRequest<Body>, Failed> {
         let permit = self.descriptors.take().ok_or_else(|| Failed::refused("no descriptor left"))?;
-        let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(self.addr)).await;
+        let connecting = tokio::time::timeout(CONNECT, connect(self.addr)).await;
         let stream = connecting.map_err(|_| Failed::silent("no connection in time"))?;
-        let stream = stream.map_err(|e| Failed::broken("no connection", e))?;
+        let stream = stream.map_err(|e| Failed::broken("no connection", e.source()))?;
         let io = TokioIo::new(Io(Socket::new(stream, permit)));
         let (sender, connection) =
             http1::handshake(io).await.map_err(|e| Failed::broken("no connection", e))?;
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -5,11 +5,14 @@
 use super::acting::Acting;
 use super::answer::Answer;
 use super::clock::{margin, Clock};
+use super::job::{Cancellation, Ended, Job, Span};
 use super::terms::{Made, Terms};
-use super::upstream::{Ended, Job, Span, Tether, Upstreams};
+use super::trace::{self, Event as Traced};
+use super::upstream::Upstreams;
 use crate::api::*;
 use crate::Balancer;
 use rushquay_nodes::{Member, Pins};
+use rushquay_operate::Cause;
 use rustc_hash::FxHashMap;
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -36,7 +39,7 @@
     server: ServerId,
     sent: Nanos,
     /// While it is out.
-    out: Option<(Rc<Tether>, AbortHandle)>,
+    out: Option<(Rc<Cancellation>, AbortHandle)>,
     /// What its route and cluster make of it.
     made: Made,
     /// How it ended, if it has.
@@ -66,12 +69,19 @@
     job: Rc<Job>,
     terms: Option<Rc<Terms>>,
     deadline: Nanos,
+    /// When its client stops waiting.
+    client_until: Nanos,
     /// Until the final answer is given.
     answer: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
 }
 
 impl Pending {
+    /// Its attempts that are out.
+    fn out(&self) -> impl Iterator<Item = &Cancellation> {
+        self.attempts.iter().filter_map(|a| a.out.as_ref()).map(|(cancellation, _)| &**cancellation)
+    }
+
     /// By when a repeat has to begin, so that it meets nodes that remember every attempt before it; `None`: whenever.
     fn repeat_by(&self) -> Option<Nanos> {
         let may_have_run = |a: &&Attempt| a.status.is_none_or(|s| !s.never_ran());
@@ -196,6 +206,7 @@
     pub fn list(&self, kind: ListKind, members: &[Member]) {
         let names = &self.acting().names;
         let entries: Vec<(Entry, Option<SocketAddr>)> = members.iter().map(|m| names.entry(m)).collect();
+        trace::event(|| Traced::List { entries: entries.len() });
         if kind != ListKind::Failed {
             self.upstreams.update(kind != ListKind::Delta, &entries);
         }
@@ -223,7 +234,9 @@
         let keyed = request.write && self.acting.borrow().keyed(request.class);
         let remembered = self.acting.borrow().remembered(request.class);
         let (job, attempts) = (Rc::new(job), Vec::new());
-        let pending = Pending { id, keyed, remembered, job, terms, deadline, answer: Some(answer), attempts };
+        let client_until = now.saturating_add(patience);
+        let answer = Some(answer);
+        let pending = Pending { id, keyed, remembered, job, terms, deadline, client_until, answer, attempts };
         core.pending.insert(id, pending);
         account::count(Kind::Arrival, 1);
         self.feed(core, Event::Arrival(request));
@@ -237,7 +250,8 @@
         let core = &mut *self.core.borrow_mut();
         let Some(pending) = core.pending.get_mut(&id) else { return };
         if pending.answer.take().is_some() {
-            Self::bar(pending);
+            trace::event(|| Traced::Gone { request: pending.job.id() });
+            pending.out().for_each(Cancellation::abandoned);
             self.feed(core, Event::Expired(id));
             if self.cancel {
                 self.call_off_all(core, id);
@@ -255,11 +269,15 @@
             return;
         }
         attempt.ended(ended.status, ended.code);
+        let (node, status) = (attempt.server, ended.status);
+        trace::event(|| Traced::Ended { request: pending.job.id(), number, node, status });
         if let Some(response) = ended.answer {
             if let Some(answer) = pending.answer.take() {
                 account::count(Kind::Served, 1);
+                let (request, status) = (pending.job.id(), response.status().as_u16());
+                trace::event(|| Traced::Answered { request, status, after: None });
                 let _ = answer.send(Answer::Served(response));
-                Self::bar(pending);
+                pending.out().for_each(Cancellation::answered);
             }
         }
         let event = self.outcome(pending, number, ended.status, ended.hit);
@@ -342,18 +360,26 @@
             }
             wait = terms.wait(wait);
         }
+        let busy = pending.attempts.iter().any(|a| a.out.is_some());
+        let last = pending.attempts.last().and_then(|a| a.status);
+        let after = match (busy, pending.attempts.is_empty()) {
+            (_, true) => None,
+            (true, _) => Some(Cause::SecondCopy),
+            (false, _) => Some(cause_of(last)),
+        };
+        after.into_iter().for_each(|cause| self.upstreams.ledger().retries.one_more(cause));
+        trace::event(|| Traced::Attempt { request: pending.job.id(), number, node: server, after });
         if account::on() {
             let (kind, started) = self.upstreams.kind(server).unwrap_or_default();
-            let busy = pending.attempts.iter().any(|a| a.out.is_some());
-            let last = pending.attempts.last().and_then(|a| a.status);
             let cold = started > 0 && now < started.saturating_add(self.cold);
             account::attempt(busy, last, self.origin == Some(kind), cold);
         }
         let begin = pending.repeat_by().map(|by| Duration::from_nanos(by.saturating_sub(now)));
-        let span = Span { whole: Duration::from_nanos(wait), begin };
+        let client = Duration::from_nanos(pending.client_until.saturating_sub(now));
+        let span = Span { whole: Duration::from_nanos(wait), begin, client };
         let importance = pending.terms.as_ref().map(|t| t.importance);
-        let (job, tether) = (pending.job.clone(), Rc::new(Tether::default()));
-        let (upstreams, held, myself) = (self.upstreams.clone(), tether.clone(), self.myself.clone());
+        let (job, cancellation) = (pending.job.clone(), Rc::new(Cancellation::default()));
+        let (upstreams, held, myself) = (self.upstreams.clone(), cancellation.clone(), self.myself.clone());
         let task = tokio::task::spawn_local(async move {
             let ended = upstreams.attempt(server, &job, span, &held, importance.unwrap_or_default()).await;
             if let Some(engine) = myself.upgrade() {
@@ -363,7 +389,7 @@
         pending.attempts.push(Attempt {
             server,
             sent: now,
-            out: Some((tether, task.abort_handle())),
+            out: Some((cancellation, task.abort_handle())),
             made,
             status: None,
         });
@@ -374,8 +400,8 @@
     fn call_off(&self, core: &mut Core, id: RequestId, number: usize) -> Option<Event> {
         let pending = core.pending.get_mut(&id)?;
         let attempt = pending.attempts.get_mut(number)?;
-        let (tether, task) = attempt.out.take()?;
-        tether.cut();
+        let (cancellation, task) = attempt.out.take()?;
+        cancellation.cut();
         task.abort();
         attempt.ended(Status::Cancelled, 0);
         let event = self.outcome(pending, number, Status::Cancelled, None);
@@ -396,10 +422,12 @@
     fn answer(&self, core: &mut Core, id: RequestId, answer: Answer, events: &mut VecDeque<Event>) {
         let Some(pending) = core.pending.get_mut(&id) else { return };
         let Some(sender) = pending.answer.take() else { return };
-        account::unserved(&answer, pending.attempts.last().and_then(|a| a.status));
+        let last = pending.attempts.last().and_then(|a| a.status);
+        account::unserved(&answer, last);
+        self.count_unserved(pending.job.id(), &answer, cause_of(last));
         // A client that has just gone needs none.
         let _ = sender.send(answer);
-        Self::bar(pending);
+        pending.out().for_each(Cancellation::answered);
         if self.cancel {
             // Danger: what is still out when the request is over would go on for nobody.
             let attempts = pending.attempts.len();
@@ -408,9 +436,20 @@
         Self::forget(core, id);
     }
 
-    /// After the final answer nothing more is written for a request.
-    fn bar(pending: &Pending) {
-        pending.attempts.iter().filter_map(|a| a.out.as_ref()).for_each(|(tether, _)| tether.bar());
+    /// Counts a final answer that serves nothing, by what preceded it.
+    fn count_unserved(&self, request: &str, answer: &Answer, after: Cause) {
+        let ledger = self.upstreams.ledger();
+        let status = match answer {
+            Answer::Refused(_) => {
+                ledger.refusals.one_more(after);
+                503
+            }
+            _ => {
+                ledger.failures.one_more(after);
+                502
+            }
+        };
+        trace::event(|| Traced::Answered { request, status, after: Some(after) });
     }
 
     /// Drops a request that has had its answer and has no attempt out.
@@ -459,23 +498,19 @@
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn an_impatient_client_keeps_most_of_its_time() {
-        for (patience, most) in [(28, 3), (47, 4), (300, 10), (60_000, 10), (0, 0)] {
-            assert!(margin(patience * 1_000_000) <= most * 1_000_000, "{patience}");
-        }
-    }
-
-    /// Danger: a request that nobody answers is lost once its client stops waiting.
-    #[tokio::test(flavor = "current_thread")]
-    async fn a_request_that_the_module_leaves_unanswered_is_failed() {
-        let (_held, answered) = oneshot::channel();
-        let guard = Duration::from_millis(1);
-        let mut ticket = Ticket { id: 1, answered: Some(answered), guard, engine: Weak::new() };
-        assert!(matches!(ticket.answer().await, Answer::Overdue));
+/// What an attempt's end is counted as.
+fn cause_of(last: Option<Status>) -> Cause {
+    match last {
+        None => Cause::NotSent,
+        Some(Status::Miss) => Cause::Miss,
+        Some(Status::Full) => Cause::Full,
+        Some(Status::ConnectFailed) => Cause::Unreached,
+        Some(Status::Reset) => Cause::Reset,
+        Some(Status::Timeout) => Cause::Timeout,
+        Some(Status::Error) => Cause::Error,
+        Some(Status::Ok | Status::Cancelled | Status::Moot) => Cause::NotWritten,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/envoy/mod.rs
+++ b/src/net/envoy/mod.rs
@@ -128,8 +128,8 @@
 mod tests {
     use super::*;
     use crate::api::Settings;
+    use crate::net::descriptors::Descriptors;
     use crate::net::names::Names;
-    use crate::net::socket::Descriptors;
     use rushquay_operate::Ledger;
     use std::net::IpAddr;
     use std::sync::atomic::{AtomicUsize, Ordering};
--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -1,8 +1,8 @@
 //! Hands a client's bytes to hyper one request at a time, and looks at each head before hyper does.
 
+use super::intake::{Intake, ALL, HEADERS_MOST, PART};
 use super::socket::{Io, Socket};
 use super::BUFFER_MOST;
-use std::cell::Cell;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -10,50 +10,25 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Instant;
 
-/// As many headers as hyper takes.
-const HEADERS_MOST: usize = 100;
-/// Read in one go while a head is due.
-const PART: usize = 4096;
-/// All that is still to come goes on.
-const ALL: u64 = u64::MAX;
-
-/// What the gate has seen of a connection.
-#[derive(Default)]
-pub struct Seen {
-    /// When the first byte of a head came that is not whole yet.
-    pub head_since: Cell<Option<Instant>>,
-    /// Whole heads that have come.
-    pub heads: Cell<u64>,
-    /// Why the last of them must not be used.
-    pub fault: Cell<Option<&'static str>>,
-    /// Its body has no length told ahead, so nothing behind it is looked at.
-    pub last: Cell<bool>,
-    /// Something of the next one has been read already.
-    pub behind: Cell<bool>,
-}
-
 /// Hyper's end of a client's connection.
 pub struct Gate {
     io: Io,
-    seen: Rc<Seen>,
-    /// Read and not yet handed on.
-    held: Vec<u8>,
-    /// So many bytes may be handed on: what is left of a head that was looked at and of its body.
-    pass: u64,
+    intake: Rc<Intake>,
 }
 
 impl Gate {
-    pub fn new(socket: Rc<Socket>, seen: Rc<Seen>) -> Self {
-        Gate { io: Io(socket), seen, held: Vec::new(), pass: 0 }
+    pub fn new(socket: Rc<Socket>, intake: Rc<Intake>) -> Self {
+        Gate { io: Io(socket), intake }
     }
 
     /// How many bytes may go on, once the head held is whole or can never be; hyper says what is wrong with it.
     fn look(&self) -> Option<u64> {
+        let held = self.intake.held.borrow();
         let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
         let mut request = httparse::Request::new(&mut headers);
-        let length = match request.parse(&self.held) {
+        let length = match request.parse(&held) {
             Ok(httparse::Status::Complete(length)) => length as u64,
-            Ok(httparse::Status::Partial) if self.held.len() < BUFFER_MOST => return None,
+            Ok(httparse::Status::Partial) if held.len() < BUFFER_MOST => return None,
             _ => return Some(ALL),
         };
         let named = |name: &'static str| {
@@ -71,62 +46,65 @@
             _ if cut => Some("bad path"),
             _ => None,
         };
-        self.seen.head_since.set(None);
-        self.seen.heads.set(self.seen.heads.get() + 1);
-        self.seen.fault.set(fault);
-        self.seen.last.set(coded);
+        self.intake.head_since.set(None);
+        self.intake.heads.set(self.intake.heads.get() + 1);
+        self.intake.fault.set(fault);
+        self.intake.last.set(coded);
         let body = told.map_or(Some(0), |v| std::str::from_utf8(v).ok()?.parse::<u64>().ok());
         let whole = body.filter(|_| !coded && fault.is_none()).and_then(|body| length.checked_add(body));
         Some(whole.unwrap_or(ALL))
     }
-}
 
-impl AsyncRead for Gate {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let me = &mut *self;
-        while me.pass == 0 {
-            if !me.held.is_empty() {
-                if let Some(pass) = me.look() {
-                    me.pass = pass;
+    /// Reads until a head is whole, or the client ends its sending.
+    fn poll_head(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let intake = &self.intake;
+        while intake.pass.get() == 0 {
+            if !intake.held.borrow().is_empty() {
+                if let Some(length) = self.look() {
+                    intake.request(length);
                     break;
                 }
+                intake.incomplete();
             }
             let mut part = [0; PART];
-            match ready!(me.io.poll_fill(cx, &mut part))? {
-                0 => me.pass = ALL,
-                n => {
-                    if me.held.is_empty() {
-                        me.seen.head_since.set(Some(Instant::now()));
-                    }
-                    me.held.extend_from_slice(&part[..n]);
-                }
+            match ready!(self.io.poll_fill(cx, &mut part))? {
+                0 => intake.pass.set(ALL),
+                n => intake.take(&part[..n], Instant::now()),
             }
         }
-        let most = buf.remaining().min(usize::try_from(me.pass).unwrap_or(usize::MAX));
-        let n = if me.held.is_empty() {
-            let n = ready!(me.io.poll_fill(cx, buf.initialize_unfilled_to(most)))?;
+        Poll::Ready(Ok(()))
+    }
+
+    /// Hands on what is held, and returns how much that is.
+    fn hand_over(&self, buf: &mut ReadBuf<'_>, most: usize) -> usize {
+        let mut held = self.intake.held.borrow_mut();
+        let n = most.min(held.len());
+        buf.put_slice(&held[..n]);
+        held.drain(..n);
+        if held.is_empty() {
+            // An idle connection holds nothing.
+            *held = Vec::new();
+        } else if self.intake.pass.get() == n as u64 {
+            self.intake.head_since.set(Some(Instant::now()));
+        }
+        n
+    }
+}
+
+impl AsyncRead for Gate {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        ready!(self.poll_head(cx))?;
+        let intake = &self.intake;
+        let most = buf.remaining().min(usize::try_from(intake.pass.get()).unwrap_or(usize::MAX));
+        let n = if intake.held.borrow().is_empty() {
+            let n = ready!(self.io.poll_fill(cx, buf.initialize_unfilled_to(most)))?;
             buf.advance(n);
+            intake.came(n, Instant::now());
             n
         } else {
-            let n = most.min(me.held.len());
-            buf.put_slice(&me.held[..n]);
-            me.held.drain(..n);
-            if me.held.is_empty() {
-                // An idle connection holds nothing.
-                me.held = Vec::new();
-            } else if me.pass == n as u64 {
-                me.seen.head_since.set(Some(Instant::now()));
-            }
-            n
+            self.hand_over(buf, most)
         };
-        if me.pass != ALL {
-            me.pass -= n as u64;
-        }
-        me.seen.behind.set(me.held.len() as u64 > me.pass);
+        intake.handed(n);
         Poll::Ready(Ok(()))
     }
 }
--- a/src/net/listening.rs
+++ b/src/net/listening.rs
@@ -1,9 +1,9 @@
 //! The address where clients connect: taken alone, or shared with a process that can't be asked for it.
 
-use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
 use std::net::SocketAddr;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
@@ -44,17 +44,6 @@
     }
 }
 
-/// All connections that wait to be accepted now, also those of which the runtime has not heard.
-pub fn waiting(listener: &TcpListener) -> Vec<TcpStream> {
-    let door = SockRef::from(listener);
-    let accepted = std::iter::from_fn(|| door.accept().ok());
-    let stream = |(socket, _): (Socket, _)| {
-        socket.set_nonblocking(true)?;
-        TcpStream::from_std(socket.into())
-    };
-    accepted.filter_map(|a| stream(a).ok()).collect()
-}
-
 fn socket(addr: SocketAddr) -> io::Result<Socket> {
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_nonblocking(true)?;
@@ -71,6 +60,3 @@
     socket.listen(BACKLOG)?;
     TcpListener::from_std(socket.into())
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The sockets' side of the proxy: it translates between the network and the decision module.
 
+mod accepting;
 pub mod account;
 mod acting;
 mod admin;
@@ -9,14 +10,20 @@
 mod client;
 mod clock;
 pub mod config;
+mod connection;
 pub mod control;
+mod descriptors;
 mod discovery;
+mod draining;
 mod engine;
 pub mod envoy;
 mod front;
 mod gate;
 mod handover;
+mod headers;
 pub mod hosted;
+mod intake;
+mod job;
 mod layers;
 mod listening;
 pub mod local;
@@ -25,6 +32,8 @@
 mod policy;
 pub mod policy_source;
 mod pools;
+mod reading;
+mod responding;
 mod responses;
 mod rollout;
 pub mod rollout_source;
@@ -35,9 +44,12 @@
 pub mod subscription;
 mod tally;
 mod terms;
+mod trace;
 mod upstream;
 
 use body::{Body, BODY_MOST};
+use rushquay_guard::{Label as _, Violation};
+use rushquay_operate::Ledger;
 use std::io::Write as _;
 use std::sync::atomic::{AtomicU32, Ordering};
 
@@ -53,3 +65,9 @@
         let _ = writeln!(std::io::stderr(), "rushquay: {line}");
     }
 }
+
+/// Counts a rule that was broken, and says so.
+fn violation(ledger: &Ledger, violation: Violation, what: &str) {
+    ledger.violations.one_more(violation);
+    log(format_args!("rule broken: {}: {what}", violation.name()));
+}
--- a/src/net/pools.rs
+++ b/src/net/pools.rs
@@ -3,9 +3,9 @@
 
 use super::acting::Acting;
 use super::clock::Clock;
+use super::descriptors::Descriptors;
 use super::engine::Engine;
 use super::names::Names;
-use super::socket::Descriptors;
 use super::upstream::{idle_most, Bounds, Upstreams};
 use crate::api::{server_id, Entry, ListKind, Nanos, ServerId, Settings, State};
 use rushquay_envoy::catalogue::{Batch, Spec, Split};
--- /dev/null
+++ b/src/net/responding.rs
@@ -0,0 +1,257 @@
+//! One request of a client: read, judged, handed to its engine, and answered once.
+
+use super::acting::Acting;
+use super::answer::Answer;
+use super::asking::{asked, class_of};
+use super::body::Upload;
+use super::client::Client;
+use super::clock::margin;
+use super::draining::LAST_WORD;
+use super::engine::{Asked, Engine, Ticket};
+use super::front::Front;
+use super::headers::CORRELATION_ID;
+use super::responses::{bad, plain, respond_with};
+use super::routed::{Forward, Routed};
+use super::server::Server;
+use super::trace::{self, Event};
+use super::Body;
+use crate::api::Nanos;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Request, Response, StatusCode, Version};
+use rushquay_guard::Violation;
+use rushquay_operate::{Cause, End, Entry};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout, Instant};
+
+/// A client that has ended its sending is taken for gone if its machine says so within this time, and this part of what it
+/// waits. Danger: a machine that is busy says so late; and one that is not gone is kept waiting.
+const GONE_WITHIN: Duration = Duration::from_millis(100);
+const GONE_PART: u32 = 4;
+/// Nobody is left to read this.
+const GONE: &str = "the client has gone";
+/// An answer that comes so long after the client stopped waiting is none.
+const LATE_AFTER: Duration = Duration::from_millis(500);
+
+/// A request's id, taken while its answer is due.
+struct OpenId<'a> {
+    server: &'a Server,
+    id: HeaderValue,
+}
+
+impl Drop for OpenId<'_> {
+    fn drop(&mut self) {
+        self.server.ids.borrow_mut().remove(&self.id);
+    }
+}
+
+/// What is counted of a request that was taken.
+struct Account<'a> {
+    server: &'a Server,
+    entry: Entry,
+    acting: Rc<Acting>,
+    class: usize,
+    since: Instant,
+}
+
+impl Account<'_> {
+    /// It ends so.
+    fn ended(&mut self, end: End) {
+        self.entry.answered(end);
+        if let Some(rollout) = &self.server.rollout {
+            rollout.tally.count(&self.acting, self.class, end, self.since.elapsed());
+        }
+    }
+
+    /// It is failed before it was judged, which says nothing of old and new versions.
+    fn failed(&mut self, cause: Cause) {
+        self.entry.answered(End::Failed);
+        self.server.ledger.failures.one_more(cause);
+    }
+}
+
+impl Server {
+    /// Answers a request.
+    pub async fn respond(&self, request: Request<Incoming>, client: &Client) -> Response<Body> {
+        if request.uri().path() == "/_health" {
+            let ready = self.readiness().is_ok();
+            return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+        }
+        client.ends_by_close.set(request.version() == Version::HTTP_10);
+        let may_ask = request.version() == Version::HTTP_11;
+        let (mut head, body) = request.into_parts();
+        // What is held here lives until the answer has been given, the cluster among it.
+        let forward = match self.route(&mut head) {
+            Ok(forward) => forward,
+            Err(response) => return *response,
+        };
+        let engine = match (&self.front, &forward) {
+            (_, Some(forward)) => &forward.cluster.engine,
+            (Front::One { engine, .. }, None) => engine,
+            (Front::Pools(_), None) => return plain(StatusCode::NOT_FOUND, "no such route"),
+        };
+        let mut response = self.take(head, body, forward.as_deref(), engine, client, may_ask).await;
+        if let Some(forward) = &forward {
+            forward.dress(&mut response);
+        }
+        response
+    }
+
+    /// Where a request goes, where routes say so.
+    fn route(&self, head: &mut Parts) -> Result<Option<Box<Forward>>, Box<Response<Body>>> {
+        match &self.front {
+            Front::One { .. } => Ok(None),
+            Front::Pools(pools) => match pools.route(head, fastrand::f64) {
+                Routed::Answered(answer) => Err(Box::new(answer)),
+                Routed::Forward(forward) => Ok(Some(forward)),
+            },
+        }
+    }
+
+    /// Reads a request, and answers it if it can be used.
+    async fn take(
+        &self,
+        head: Parts,
+        body: Incoming,
+        forward: Option<&Forward>,
+        engine: &Rc<Engine>,
+        client: &Client,
+        may_ask: bool,
+    ) -> Response<Body> {
+        let name = class_of(&head, forward);
+        let acting = engine.acting();
+        let Some(class) = acting.names.classes.iter().position(|c| c == name) else {
+            return bad(StatusCode::NOT_FOUND, "no such class");
+        };
+        let policy = self.policy.as_deref();
+        let read = asked(&acting, class, engine, head, body, forward, policy).await;
+        let entry = self.ledger.take(class);
+        let mut account = Account { server: self, entry, acting, class, since: Instant::now() };
+        let asked = match read {
+            Ok(asked) => asked,
+            Err((status, why)) => {
+                account.failed(Cause::BadRequest);
+                return unusable(status, why);
+            }
+        };
+        if let Some(wait) = policy.and_then(|p| p.refuses(class)) {
+            self.ledger.refusals.one_more(Cause::Policy);
+            account.ended(End::Rejected);
+            return carrying(respond_with(Answer::Refused(wait)), account);
+        }
+        // Danger: nodes and the bookkeeping of repeats know a request by its id; a second one that bears it is
+        // somebody else's, and must not disturb the first.
+        let id = asked.job.headers[CORRELATION_ID].clone();
+        if !self.ids.borrow_mut().insert(id.clone()) {
+            account.failed(Cause::DuplicateId);
+            return bad(StatusCode::CONFLICT, "a request with this X-Correlation-Id is open");
+        }
+        let _open = OpenId { server: self, id };
+        let response = self.answer(asked, engine, client, may_ask, &mut account).await;
+        carrying(response, account)
+    }
+
+    /// Hands a request to its engine, and gives what comes of it, unless the client goes before.
+    async fn answer(
+        &self,
+        mut asked: Asked,
+        engine: &Rc<Engine>,
+        client: &Client,
+        may_ask: bool,
+        account: &mut Account<'_>,
+    ) -> Response<Body> {
+        let waited = client.intake.waited(Instant::now());
+        let late = Instant::now() + Duration::from_nanos(asked.request.remaining) + LATE_AFTER;
+        let late = late.checked_sub(waited).unwrap_or(late);
+        trace_read(&asked, client.number, account, waited);
+        shorten(&mut asked.request.remaining, waited);
+        self.end_in_time(&mut asked);
+        if self.has_gone(&mut asked, client, may_ask).await {
+            account.entry.answered(End::Failed);
+            return plain(StatusCode::BAD_GATEWAY, GONE);
+        }
+        let upload = asked.job.upload().cloned();
+        let (patience, long) = (asked.request.remaining, upload.is_some());
+        let mut ticket: Ticket = engine.arrive(asked);
+        let answer = tokio::select! {
+            biased;
+            answer = ticket.answer() => answer,
+            // The engine's guard is made for the slowest upload.
+            () = overdue(upload, patience) => Answer::Overdue,
+            () = client.intake.until_gone(&client.socket, may_ask) => {
+                return plain(StatusCode::BAD_GATEWAY, GONE);
+            }
+        };
+        if matches!(answer, Answer::Overdue) {
+            self.ledger.failures.one_more(Cause::Overdue);
+        }
+        if !long && Instant::now() > late {
+            super::violation(&self.ledger, Violation::AnsweredLate, &format!("connection {}", client.number));
+        }
+        account.ended(answer.end());
+        respond_with(answer)
+    }
+
+    /// Danger: what this process has not answered when it ends is lost.
+    fn end_in_time(&self, asked: &mut Asked) {
+        let Some(end) = self.end.get() else { return };
+        let left = end.saturating_duration_since(Instant::now()).saturating_sub(LAST_WORD);
+        let left = left.as_nanos() as Nanos;
+        asked.request.remaining = asked.request.remaining.min(left);
+        asked.upload = asked.upload.min(left);
+    }
+
+    /// Whether the client has gone already. Danger: it may have gone before its request was read, or while the one before it on its
+    /// connection was answered. An attempt for it would be for nobody.
+    async fn has_gone(&self, asked: &mut Asked, client: &Client, may_ask: bool) -> bool {
+        if !client.socket.ended() {
+            return false;
+        }
+        let asks = Instant::now();
+        let within = GONE_WITHIN.min(Duration::from_nanos(asked.request.remaining) / GONE_PART);
+        if timeout(within, client.socket.hung_up(may_ask)).await.is_ok() {
+            return true;
+        }
+        shorten(&mut asked.request.remaining, asks.elapsed());
+        false
+    }
+}
+
+/// Takes what has passed off the time that is left.
+fn shorten(remaining: &mut Nanos, passed: Duration) {
+    *remaining = remaining.saturating_sub(passed.as_nanos() as Nanos);
+}
+
+/// Keeps the account until the answer has been passed on.
+fn carrying(mut response: Response<Body>, account: Account<'_>) -> Response<Body> {
+    response.body_mut().carry(account.entry);
+    response
+}
+
+/// What cannot be used is turned away.
+fn unusable(status: StatusCode, why: &'static str) -> Response<Body> {
+    let mut response = bad(status, why);
+    if status == StatusCode::METHOD_NOT_ALLOWED {
+        response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, PUT"));
+    }
+    response
+}
+
+fn trace_read(asked: &Asked, connection: u64, account: &Account<'_>, waited: Duration) {
+    trace::event(|| Event::Read {
+        request: asked.job.id(),
+        connection,
+        class: account.acting.names.classes.get(account.class).map_or("", String::as_str),
+        left_ms: asked.request.remaining / 1_000_000,
+        waited_ms: waited.as_millis() as u64,
+    });
+}
+
+/// Returns when a client that has sent a long body whole stops waiting soon; never where there is none.
+async fn overdue(upload: Option<Rc<Upload>>, patience: Nanos) {
+    let Some(upload) = upload else { return std::future::pending().await };
+    upload.whole().await;
+    sleep(Duration::from_nanos(patience - margin(patience) / 2)).await;
+}
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,19 +1,16 @@
-//! The listener, clients' connections and requests, their answers, and the drain.
+//! The process: what it is made of, when it serves, and what it hands over.
 
 use super::acting::Acting;
 use super::admin::{self, Operators};
-use super::answer::Answer;
-use super::asking::{asked, class_of, CORRELATION_ID};
-use super::body::{steady, Upload};
-use super::client::{Busy, Client};
-use super::clock::{margin, Clock};
+use super::client::Client;
+use super::clock::Clock;
 use super::config::Config;
 use super::control;
+use super::descriptors::Descriptors;
 use super::discovery::{self, Discovery};
-use super::engine::{Engine, Ticket};
+use super::engine::Engine;
 use super::envoy;
 use super::front::Front;
-use super::gate::Gate;
 use super::handover::{self, Found, Keeper, Link, Listening};
 use super::hosted::Hosted;
 use super::layers::Layers;
@@ -21,65 +18,36 @@
 use super::nodes::NodeList;
 use super::policy::{Handed, Policy};
 use super::pools::Pools;
-use super::responses::{bad, closing, plain, respond_with};
 use super::rollout::Rollout;
-use super::routed::Routed;
-use super::socket::{Descriptors, Permit, Socket};
+use super::trace::{self, Event};
 use super::upstream::Upstreams;
-use super::{Body, BODY_MOST, BUFFER_MOST};
-use crate::api::{self, ColdLeft};
-use hyper::body::Incoming;
-use hyper::header::{self, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode, Version};
-use hyper_util::rt::TokioIo;
-use rushquay_admission::{order, Evidence, Want};
+use super::{BODY_MOST, BUFFER_MOST};
+use crate::api::ColdLeft;
+use hyper::header::HeaderValue;
+use rushquay_guard::{may_serve, NotReady, ServeFacts};
 use rushquay_handover::{Cold, Holder, Known, Share};
 use rushquay_nodes::{Manner, Members};
-use rushquay_operate::{End, Ledger, Standing};
+use rushquay_operate::{Ledger, Standing};
+use rushquay_xds::client::Outage;
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
-use std::convert::Infallible;
+use std::collections::{HashSet, VecDeque};
 use std::future::Future;
-use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, Notify};
-use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
-/// A connection that is to make room does so within this time, or another is asked to.
-const YIELD_WITHIN: Duration = Duration::from_millis(2);
 /// Idle connections to nodes are looked at so often.
 const SWEEP_EVERY: Duration = Duration::from_millis(250);
 const LOOK_EVERY: Duration = Duration::from_millis(200);
-/// Before an idle connection is closed on which something has come, the runtime gets so many turns to hear of it.
-const LOOKS: u32 = 3;
 /// Descriptors that are no sockets of the budget: standard streams, the listener, the runtime's own, discovery's.
 const OWN_DESCRIPTORS: usize = 20 + discovery::DESCRIPTORS;
 /// Memory that is no connection's.
 const OWN_MEMORY: usize = 8 << 20;
-/// New connections come for some time after SIGTERM; accepting goes on for at least the first span, until none
-/// has come for the second, and ends after the third.
-const ACCEPT_FOR: Duration = Duration::from_millis(450);
-const QUIET_FOR: Duration = Duration::from_millis(100);
-const ACCEPT_MOST: Duration = Duration::from_millis(600);
-/// A proxy may be killed so long after the longest deadline after SIGTERM; it ends a little sooner.
-const END_BEFORE: Duration = Duration::from_millis(600);
-
-/// A client that has ended its sending is taken for gone if its machine says so within this time, and this part of what it
-/// waits. Danger: a machine that is busy says so late; and one that is not gone is kept waiting.
-const GONE_WITHIN: Duration = Duration::from_millis(100);
-const GONE_PART: u32 = 4;
-/// Nobody is left to read this.
-const GONE: &str = "the client has gone";
-/// So long before the end of the process the last answers are written.
-const LAST_WORD: Duration = Duration::from_millis(50);
 /// A process that is to serve looks so often whether it can.
 const SERVE_LOOK: Duration = Duration::from_millis(10);
 /// A new process waits so long for leave before it serves in the old one's place.
@@ -87,39 +55,40 @@
 /// Where the old process can't be heard of it has gone by then: the new one has 6 s to say yes, and SIGKILL comes soon after.
 const BESIDE_FOR: Duration = Duration::from_secs(12);
 
-struct Server {
-    front: Front,
-    descriptors: Rc<Descriptors>,
+/// A client's settings are read again so often, where the file can't be used: it may be half written.
+const REREAD_MOST: u32 = 10;
+const REREAD_EVERY: Duration = Duration::from_millis(150);
+
+/// A process that serves.
+pub(super) struct Server {
+    pub front: Front,
+    pub descriptors: Rc<Descriptors>,
     /// Descriptors that are none of the budget.
     own: usize,
-    draining: Cell<bool>,
+    /// It was told to end.
+    pub draining: Cell<bool>,
     /// Connections are accepted.
     serving: Cell<bool>,
     /// When a connection last came.
-    came: Cell<Instant>,
+    pub came: Cell<Instant>,
     /// When this process ends, once it was told to.
-    end: Cell<Option<Instant>>,
-    clients: RefCell<Vec<Rc<Client>>>,
+    pub end: Cell<Option<Instant>>,
+    pub clients: RefCell<Vec<Rc<Client>>>,
+    /// Connections that were accepted and have no place yet.
+    pub waiting: RefCell<VecDeque<TcpStream>>,
+    /// Failures of accept for lack of descriptors or memory.
+    pub shortage: RefCell<Outage>,
     /// The ids of all requests that lack their answer. Their hash is keyed, since clients choose them.
-    ids: RefCell<HashSet<HeaderValue>>,
-    left: Notify,
-    ledger: Arc<Ledger>,
+    pub ids: RefCell<HashSet<HeaderValue>>,
+    /// Told when a client has left.
+    pub left: Notify,
+    /// Connections are numbered for the trace.
+    connections: Cell<u64>,
+    pub ledger: Arc<Ledger>,
     /// Its part in changes; `None`: it has none.
-    rollout: Option<Rc<Rollout>>,
+    pub rollout: Option<Rc<Rollout>>,
     /// Its part in changes of policy; `None`: it has none.
-    policy: Option<Rc<Policy>>,
-}
-
-/// A request's id, taken while its answer is due.
-struct OpenId<'a> {
-    server: &'a Server,
-    id: HeaderValue,
-}
-
-impl Drop for OpenId<'_> {
-    fn drop(&mut self) {
-        self.server.ids.borrow_mut().remove(&self.id);
-    }
+    pub policy: Option<Rc<Policy>>,
 }
 
 /// Serves until `stop`, then drains; follows another discovery when the file names one at a `hangup`. `told` hears
@@ -164,6 +133,8 @@
     let bound = bound.map_err(|e| format!("PROXY_LISTEN: {}: {e}", config.listen))?;
     super::log(format_args!("listening on {bound}"));
     super::account::start();
+    trace::start();
+    trace::event(|| Event::State { state: "starting" });
     told(bound);
     let ledger = Ledger::new(&config.names.classes);
     let operators = config.admin.map(|admin| Operators::start(admin, ledger.clone())).transpose()?;
@@ -209,8 +180,11 @@
         came: Cell::new(Instant::now()),
         end: Cell::new(None),
         clients: RefCell::default(),
+        waiting: RefCell::default(),
+        shortage: RefCell::default(),
         ids: RefCell::default(),
         left: Notify::new(),
+        connections: Cell::new(0),
         ledger: ledger.clone(),
         rollout,
         policy,
@@ -277,6 +251,7 @@
     // Danger: whoever is told yes may at once end the old process, or start the next version. Both must find all ready.
     server.serving.set(true);
     server.tell_operators();
+    trace::event(|| Event::State { state: "serving" });
     let mut accepting = Box::pin(server.clone().accept_all(listener.clone()));
     tokio::select! {
         biased;
@@ -287,13 +262,6 @@
     Ok(())
 }
 
-/// Returns when a client that has sent a long body whole stops waiting soon; never where there is none.
-async fn overdue(upload: Option<Rc<Upload>>, patience: api::Nanos) {
-    let Some(upload) = upload else { return std::future::pending().await };
-    upload.whole().await;
-    sleep(Duration::from_nanos(patience - margin(patience) / 2)).await;
-}
-
 async fn ended(link: &mut Option<Link>) {
     match link {
         Some(link) => link.ended().await,
@@ -377,7 +345,7 @@
     }
     tokio::task::spawn_local(async move {
         while hangup.recv().await.is_some() {
-            match Config::again() {
+            match reread().await {
                 // The receiver is gone only when the proxy ends.
                 Ok(config) => drop(config.discovery.map(|discovery| moves.send(discovery))),
                 Err(e) => super::log(format_args!("the settings stay as they are: {e}")),
@@ -388,11 +356,6 @@
 }
 
 impl Server {
-    /// Danger: clients that hold every descriptor could be answered by nobody. Of two they get one.
-    fn clients_most(&self) -> usize {
-        self.descriptors.most() / 2
-    }
-
     /// Returns once a request could be served.
     async fn can_serve(&self) {
         while !self.front.can_serve() {
@@ -400,324 +363,43 @@
         }
     }
 
+    /// The number of the next connection.
+    pub fn next_connection(&self) -> u64 {
+        self.connections.set(self.connections.get() + 1);
+        self.connections.get()
+    }
+
     /// Brings what operators read up to date where it changes by itself, with time.
-    fn tell_operators(&self) {
+    pub fn tell_operators(&self) {
         let (listed, avoided) = self.front.members();
         self.ledger.members.set(listed as u64);
         self.ledger.unavailable.set(avoided as u64);
-        self.ledger.stand(match self.draining.get() {
-            true => Standing::Draining,
-            false if self.serving.get() && self.ready() => Standing::Serving,
-            false => Standing::Starting,
-        });
-    }
-
-    /// Whether requests can be served, and may be.
-    fn ready(&self) -> bool {
-        self.front.can_serve() && self.policy.as_ref().is_none_or(|p| p.serves())
-    }
-
-    async fn accept_all(self: Rc<Self>, listener: Rc<TcpListener>) -> Infallible {
-        loop {
-            let accepted = listener.accept().await;
-            self.came.set(Instant::now());
-            self.accepted(accepted).await;
-        }
-    }
-
-    /// Takes in a connection, once there is a descriptor for it. The one that it has meanwhile is the server's own.
-    async fn accepted(self: &Rc<Self>, accepted: io::Result<(TcpStream, SocketAddr)>) {
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                // Danger: without descriptors accept fails at once, and again, and again.
-                super::log(format_args!("accept: {e}"));
-                self.front.yield_idle();
-                sleep(Duration::from_millis(10)).await;
-                return;
-            }
-        };
-        let permit = loop {
-            if self.clients.borrow().len() >= self.clients_most() {
-                self.make_place();
-            } else if let Some(permit) = self.descriptors.take() {
-                break permit;
-            } else if !self.front.yield_idle() {
-                self.make_place();
-            }
-            // Danger: who was sent away may have asked just then and stays until it has its answer; the next one
-            // must not wait for that.
-            let _ = timeout(YIELD_WITHIN, self.descriptors.freed()).await;
-        };
-        self.clone().connected(stream, permit);
-        // Danger: clients too have only so many connections; those that they ask once on and keep would leave
-        // them none to ask on.
-        let staying = self.clients.borrow().iter().filter(|c| !c.closing.get()).count();
-        if staying > self.clients_most() / 2 {
-            self.yield_client(Want::Slack);
-        }
-    }
-
-    /// Has a connection leave, unless one is about to.
-    fn make_place(&self) {
-        let lingers = self.clients.borrow().iter().find(|c| c.lingering.get()).cloned();
-        match lingers {
-            Some(client) => client.hurry.notify_one(),
-            None if self.one_leaves() => {}
-            None => self.yield_client(Want::Place),
-        }
-    }
-
-    /// Asks a client's connection to end, if one is to give way; of several alike one that has sent nothing more.
-    fn yield_client(&self, want: Want) {
-        let (clients, now) = (self.clients.borrow(), Instant::now());
-        let idle: Vec<_> = clients.iter().filter(|c| !c.busy.get() && !c.closing.get()).collect();
-        let evidence: Vec<Evidence> = idle.iter().map(|c| c.evidence(now)).collect();
-        let order = order(&evidence, steady(), self.clients_most(), want);
-        let silent = order.iter().find(|n| idle[**n].socket.silent());
-        if let Some(n) = silent.or(order.first()) {
-            idle[*n].end();
-        }
-    }
-
-    /// Whether a connection is about to leave its place. Danger: to send another away for each that comes
-    /// before it has left would empty the house of those that ask.
-    fn one_leaves(&self) -> bool {
-        let leaves = |c: &Rc<Client>| c.closing.get() && !c.busy.get() && !c.socket.stalled();
-        self.clients.borrow().iter().any(leaves)
-    }
-
-    fn connected(self: Rc<Self>, stream: TcpStream, permit: Permit) {
-        let client = Client::new(stream, permit);
-        self.clients.borrow_mut().push(client.clone());
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|request| {
-                let busy = Busy::new(&client);
-                let fault = client.seen.fault.take();
-                let (server, client) = (&self, &client);
-                async move {
-                    let mut response = match fault {
-                        Some(why) => bad(StatusCode::BAD_REQUEST, why),
-                        None => server.respond(request, &client.socket).await,
-                    };
-                    response.body_mut().carry(busy);
-                    // Danger: what has been read of the next request would be dropped unanswered.
-                    let ends = (server.draining.get() || client.closing.get()) && !client.seen.behind.get();
-                    if ends || client.seen.last.get() {
-                        closing(&mut response);
-                    }
-                    Ok::<_, Infallible>(response)
-                }
-            });
-            // Danger: by default hyper drops the request of a client that has ended its sending and still waits,
-            // and lets one connection hold some 400 KB.
-            let gate = Gate::new(client.socket.clone(), client.seen.clone());
-            let connection = http1::Builder::new()
-                .half_close(true)
-                .max_buf_size(BUFFER_MOST)
-                .serve_connection(TokioIo::new(gate), service);
-            let mut connection = std::pin::pin!(connection);
-            let mut looks = LOOKS;
-            loop {
-                // What has come in is read before the connection is asked to end.
-                tokio::select! {
-                    biased;
-                    _ = connection.as_mut() => {
-                        client.linger().await;
-                        break;
-                    }
-                    () = client.close.notified() => {
-                        // Danger: hyper waits without end for the rest of a head. Nothing is owed for one.
-                        if client.dropped.get() {
-                            break;
-                        }
-                        let idle = !client.busy.get() && !client.socket.stalled();
-                        if idle && !client.socket.silent() && looks > 0 {
-                            // Danger: what has just come may be a request, of which the runtime has not heard yet.
-                            looks -= 1;
-                            client.close.notify_one();
-                            tokio::task::yield_now().await;
-                        } else if idle {
-                            break;
-                        } else if !client.seen.behind.get() {
-                            connection.as_mut().graceful_shutdown();
-                        }
-                    }
-                }
-            }
-            self.clients.borrow_mut().retain(|c| !Rc::ptr_eq(c, &client));
-            self.left.notify_one();
+        self.ledger.stand(match self.readiness() {
+            Err(NotReady::Draining) => Standing::Draining,
+            Ok(()) if self.serving.get() => Standing::Serving,
+            _ => Standing::Starting,
         });
     }
 
-    /// Answers what comes and asks clients away, then ends idle connections, and waits for the rest. Danger: `accepting` may
-    /// hold a connection that has no place yet; to begin to accept anew would close it.
-    async fn drain(
-        self: &Rc<Self>,
-        mut accepting: Pin<Box<impl Future<Output = Infallible>>>,
-        listener: Rc<TcpListener>,
-        keeper: &Keeper,
-    ) {
-        super::log("draining");
-        let longest = self.front.longest();
-        let start = Instant::now();
-        let end = start + longest + END_BEFORE;
-        self.end.set(Some(end));
-        self.draining.set(true);
-        self.rollout.iter().for_each(|r| r.leave());
-        self.tell_operators();
-        if keeper.succeeded() {
-            // Danger: an idle connection that is closed just as its client asks on it costs that request a turn at the door.
-            // Who asks is sent over by the answer; what never asks goes last.
-            let last = start + longest;
-            while !self.clients.borrow().is_empty() {
-                tokio::select! {
-                    () = self.left.notified() => {}
-                    () = sleep_until(last) => break,
-                }
-            }
-        } else {
-            loop {
-                let quiet = (start + ACCEPT_FOR).max(self.came.get() + QUIET_FOR).min(start + ACCEPT_MOST);
-                if quiet <= Instant::now() {
-                    break;
-                }
-                if let Ok(never) = timeout_at(quiet, &mut accepting).await {
-                    match never {}
-                }
-            }
-        }
-        drop(accepting);
-        // Danger: what waits at the door is reset with it, and the runtime may not have heard of it yet.
-        let last = listening::waiting(&listener);
-        keeper.close();
-        drop(listener);
-        if !last.is_empty() {
-            last.into_iter().filter_map(|s| Some((s, self.descriptors.take()?))).for_each(
-                |(stream, permit)| {
-                    self.clone().connected(stream, permit);
-                },
-            );
-            sleep(QUIET_FOR).await;
-        }
-        self.clients.borrow().iter().for_each(|c| c.end());
-        while !self.clients.borrow().is_empty() {
-            tokio::select! {
-                () = self.left.notified() => {}
-                () = sleep_until(end) => {
-                    super::log("ended with clients still connected");
-                    return;
-                }
-            }
-        }
+    /// Whether this process may say that it serves, and why not.
+    pub fn readiness(&self) -> Result<(), NotReady> {
+        may_serve(&ServeFacts {
+            node_known: self.front.can_serve(),
+            policy_permits: self.policy.as_ref().is_none_or(|p| p.serves()),
+            draining: self.draining.get(),
+        })
     }
+}
 
-    async fn respond(&self, request: Request<Incoming>, socket: &Rc<Socket>) -> Response<Body> {
-        if request.uri().path() == "/_health" {
-            let ready = !self.draining.get() && self.ready();
-            return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
-        }
-        let may_ask = request.version() == Version::HTTP_11;
-        let (mut head, body) = request.into_parts();
-        // What is held here lives until the answer has been given, the cluster among it.
-        let forward = match &self.front {
-            Front::One { .. } => None,
-            Front::Pools(pools) => match pools.route(&mut head, fastrand::f64) {
-                Routed::Answered(answer) => return answer,
-                Routed::Forward(forward) => Some(forward),
-            },
-        };
-        let engine = match (&self.front, &forward) {
-            (_, Some(forward)) => &forward.cluster.engine,
-            (Front::One { engine, .. }, None) => engine,
-            (Front::Pools(_), None) => return plain(StatusCode::NOT_FOUND, "no such route"),
-        };
-        let name = class_of(&head, forward.as_deref());
-        let acting = engine.acting();
-        let Some(class) = acting.names.classes.iter().position(|c| c == name) else {
-            return bad(StatusCode::NOT_FOUND, "no such class");
-        };
-        let policy = self.policy.as_deref();
-        let read = asked(&acting, class, engine, head, body, forward.as_deref(), policy).await;
-        let mut entry = self.ledger.take(class);
-        let tally = self.rollout.as_ref().map(|r| (&r.tally, Instant::now()));
-        let mut asked = match read {
-            Ok(mut asked) => {
-                // Danger: what this process has not answered when it ends is lost.
-                if let Some(end) = self.end.get() {
-                    let left = end.saturating_duration_since(Instant::now()).saturating_sub(LAST_WORD);
-                    let left = left.as_nanos() as api::Nanos;
-                    asked.request.remaining = asked.request.remaining.min(left);
-                    asked.upload = asked.upload.min(left);
-                }
-                asked
-            }
-            Err((status, why)) => {
-                entry.answered(End::Failed);
-                let mut response = bad(status, why);
-                if status == StatusCode::METHOD_NOT_ALLOWED {
-                    response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, PUT"));
-                }
-                return response;
-            }
-        };
-        if let Some(wait) = policy.and_then(|p| p.refuses(class)) {
-            let refused = Answer::Refused(wait);
-            entry.answered(refused.end());
-            if let Some((tally, since)) = tally {
-                tally.count(&acting, class, refused.end(), since.elapsed());
-            }
-            let mut response = respond_with(refused);
-            response.body_mut().carry(entry);
-            return response;
-        }
-        // Danger: nodes and the bookkeeping of repeats know a request by its id; a second one that bears it is
-        // somebody else's, and must not disturb the first.
-        let id = asked.job.headers[CORRELATION_ID].clone();
-        if !self.ids.borrow_mut().insert(id.clone()) {
-            entry.answered(End::Failed);
-            return bad(StatusCode::CONFLICT, "a request with this X-Correlation-Id is open");
-        }
-        let _open = OpenId { server: self, id };
-        // Danger: a client may have gone before its request was read, or while the one before it on its connection was
-        // answered. An attempt for it would be for nobody.
-        if socket.ended() {
-            let asks = Instant::now();
-            let within = GONE_WITHIN.min(Duration::from_nanos(asked.request.remaining) / GONE_PART);
-            if timeout(within, socket.hung_up(may_ask)).await.is_ok() {
-                entry.answered(End::Failed);
-                return plain(StatusCode::BAD_GATEWAY, GONE);
-            }
-            let waited = asks.elapsed().as_nanos() as api::Nanos;
-            asked.request.remaining = asked.request.remaining.saturating_sub(waited);
-        }
-        let upload = asked.job.upload().cloned();
-        let patience = asked.request.remaining;
-        let mut ticket: Ticket = engine.arrive(asked);
-        let mut response = tokio::select! {
-            biased;
-            answer = ticket.answer() => {
-                entry.answered(answer.end());
-                if let Some((tally, since)) = tally {
-                    tally.count(&acting, class, answer.end(), since.elapsed());
-                }
-                respond_with(answer)
-            }
-            // The engine's guard is made for the slowest upload.
-            () = overdue(upload, patience) => {
-                entry.answered(End::Failed);
-                if let Some((tally, since)) = tally {
-                    tally.count(&acting, class, End::Failed, since.elapsed());
-                }
-                respond_with(Answer::Overdue)
-            }
-            // Nobody is left to read this.
-            () = socket.hung_up(may_ask) => plain(StatusCode::BAD_GATEWAY, GONE),
-        };
-        if let Some(forward) = &forward {
-            forward.dress(&mut response);
+/// Reads the settings again, and once more where they can't be used: whoever writes the file may still be at it.
+async fn reread() -> Result<Config, String> {
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        match Config::again() {
+            Err(e) if tries >= REREAD_MOST => return Err(e),
+            Err(_) => sleep(REREAD_EVERY).await,
+            read => return read,
         }
-        response.body_mut().carry(entry);
-        response
     }
 }
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -1,9 +1,12 @@
-//! One TCP stream under hyper: what has been written to it, whether its peer has gone, and the budget of
-//! descriptors that all streams share.
+//! One TCP stream under hyper: what has been written to it and whether its peer has gone. Calls that a signal interrupts and
+//! shortages of the system's buffers end here.
 
+use super::descriptors::Permit;
+use rushquay_guard::{check_sent, may_send, SendDenied, SendFacts, Sent, Violation};
 use rushquay_operate::Ledger;
+use rushquay_sockets::{classify, ErrorClass};
 use socket2::SockRef;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
@@ -11,62 +14,23 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{ready, Context, Poll, Waker};
-use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf, Ready};
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
-use tokio::time::Instant;
-
-/// The descriptors that sockets may take.
-pub struct Descriptors {
-    most: Cell<usize>,
-    taken: Cell<usize>,
-    freed: Notify,
-}
-
-impl Descriptors {
-    pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Descriptors { most: Cell::new(most), taken: Cell::new(0), freed: Notify::new() })
-    }
-
-    /// How many there are, taken or not.
-    pub fn most(&self) -> usize {
-        self.most.get()
-    }
-
-    /// How many are taken; may be more than there are, after there were more.
-    pub fn taken(&self) -> usize {
-        self.taken.get()
-    }
-
-    /// So many there are from now on.
-    pub fn resize(&self, most: usize) {
-        self.most.set(most);
-        self.freed.notify_one();
-    }
-
-    /// Takes one, if any is free.
-    pub fn take(self: &Rc<Self>) -> Option<Permit> {
-        if self.taken.get() >= self.most.get() {
-            return None;
-        }
-        self.taken.set(self.taken.get() + 1);
-        Some(Permit(self.clone()))
-    }
-
-    /// Waits until one is given back.
-    pub async fn freed(&self) {
-        self.freed.notified().await;
-    }
-}
-
-/// A descriptor taken from the budget; it returns when this is dropped.
-pub struct Permit(Rc<Descriptors>);
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.0.taken.set(self.0.taken.get() - 1);
-        self.0.freed.notify_one();
-    }
+use tokio::time::{sleep, Instant, Sleep};
+
+/// A call for which the system has no buffers is made again after this, so often at most.
+const SHORTAGE_WAIT: Duration = Duration::from_millis(5);
+const SHORTAGES_MOST: u32 = 400;
+/// The interim answer that asks whether a client is still there.
+const INTERIM: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// What is looked at when the first byte of an attempt is written.
+pub struct FirstByte {
+    /// What is known at that moment.
+    pub facts: Box<dyn Fn() -> SendFacts>,
+    /// The time left that the node is told, in nanoseconds.
+    pub told_left: u64,
 }
 
 /// A stream that several parties look at: hyper reads and writes it through [`Io`].
@@ -82,6 +46,15 @@
     room: Cell<usize>,
     /// When bytes last came or went.
     moved: Cell<Instant>,
+    /// What is to be looked at before the next byte is written.
+    first_byte: RefCell<Option<FirstByte>>,
+    /// Why the last message was not written.
+    denied: Cell<Option<SendDenied>>,
+    /// What is left of an interim answer of which the kernel took a part.
+    interim: Cell<&'static [u8]>,
+    /// The wait after a call for which the system had no buffers, and how often that was in a row.
+    shortage: RefCell<Option<Pin<Box<Sleep>>>>,
+    shortages: Cell<u32>,
     /// Where messages that have been written whole are counted.
     ledger: Option<Arc<Ledger>>,
     _permit: Permit,
@@ -107,16 +80,24 @@
             stalled: Cell::new(false),
             room: Cell::new(usize::MAX),
             moved: Cell::new(Instant::now()),
+            first_byte: RefCell::new(None),
+            denied: Cell::new(None),
+            interim: Cell::new(&[]),
+            shortage: RefCell::new(None),
+            shortages: Cell::new(0),
             ledger,
             _permit: permit,
         })
     }
 
-    /// A new message is about to be written, and at most `room` bytes may come in answer.
-    pub fn begin(&self, room: usize) {
+    /// A new message is about to be written, and at most `room` bytes may come in answer. `first_byte` is looked at where its
+    /// first byte is written: between the handing over to hyper and that moment other tasks run.
+    pub fn begin(&self, room: usize, first_byte: Option<FirstByte>) {
         self.room.set(room);
         self.begun.set(false);
         self.whole.set(false);
+        self.denied.set(None);
+        *self.first_byte.borrow_mut() = first_byte;
     }
 
     /// As many bytes as there are may come in answer from now on.
@@ -134,9 +115,9 @@
         self.whole.get()
     }
 
-    /// Whether anything of the message has been written.
-    pub fn begun(&self) -> bool {
-        self.begun.get()
+    /// Why the message was not written; `None`: nothing stood against it.
+    pub fn denied(&self) -> Option<SendDenied> {
+        self.denied.get()
     }
 
     /// Whether something is still to be written for which the kernel has no room.
@@ -144,11 +125,20 @@
         self.stalled.get()
     }
 
+    /// Looks at what has come without reading it: how many bytes of one, or the error. A call that is interrupted is made again.
+    fn peek(&self) -> io::Result<usize> {
+        loop {
+            match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+                Err(e) if classify(&e) == ErrorClass::Repeat => {}
+                other => return other,
+            }
+        }
+    }
+
     /// Whether the kernel holds nothing that has come and was not read, not even the peer's end. Danger: the runtime
     /// learns of new bytes only when it next looks, so this asks the kernel.
     pub fn silent(&self) -> bool {
-        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
-        peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+        self.peek().is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Ends both directions now, whoever still holds the stream.
@@ -156,6 +146,11 @@
         let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Both);
     }
 
+    /// Has the connection reset when it is dropped, so that its peer can't take what came for the whole.
+    pub fn reset(&self) {
+        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    }
+
     /// Says that nothing more will be written.
     pub fn end(&self) {
         let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write);
@@ -164,7 +159,7 @@
     /// Whether the peer sends nothing more: it has ended its sending, or is gone. Danger: the runtime may have heard of a request
     /// and not yet of the end behind it, so this asks the kernel; behind bytes that were not read only the runtime can tell.
     pub fn ended(&self) -> bool {
-        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+        match self.peek() {
             Ok(0) => return true,
             Ok(_) => {}
             Err(e) => return e.kind() != io::ErrorKind::WouldBlock,
@@ -178,20 +173,97 @@
         let _ = self.stream.ready(Interest::PRIORITY | Interest::ERROR).await;
     }
 
+    /// Returns once the stream is ready for one of these.
+    pub async fn ready(&self, interest: Interest) -> io::Result<Ready> {
+        self.stream.ready(interest).await
+    }
+
+    /// Reads what has come, once; `WouldBlock`: nothing has.
+    pub fn try_read(&self, part: &mut [u8]) -> io::Result<usize> {
+        loop {
+            match self.stream.try_read(part) {
+                Err(e) if classify(&e) == ErrorClass::Repeat => {}
+                other => return other,
+            }
+        }
+    }
+
     /// Returns once the peer has closed the connection while an answer is due to it. Danger: a peer that only
     /// ended its sending looks the same, and still waits. An interim answer tells them apart: the machine of
     /// one that is gone resets the connection.
     pub async fn hung_up(&self, may_ask: bool) {
         // Of all interests this one wakes for a closed read side and not for bytes, which may be pipelined.
         let closed = self.stream.ready(Interest::PRIORITY).await;
-        if closed.is_ok() && may_ask && !self.stalled.get() {
-            let asked = self.stream.try_write(b"HTTP/1.1 100 Continue\r\n\r\n");
-            if asked.is_err_and(|e| e.kind() != io::ErrorKind::WouldBlock) {
+        if closed.is_ok() && may_ask && !self.stalled.get() && self.interim.get().is_empty() {
+            self.interim.set(INTERIM);
+            if self.write_interim().is_err_and(|e| e.kind() != io::ErrorKind::WouldBlock) {
                 return;
             }
         }
         let _ = self.stream.ready(Interest::ERROR).await;
     }
+
+    /// Writes what is left of an interim answer. Danger: the kernel may take a part of it, and what is written next must not stand
+    /// in its midst.
+    fn write_interim(&self) -> io::Result<()> {
+        while !self.interim.get().is_empty() {
+            let left = self.interim.get();
+            match self.stream.try_write(left) {
+                Ok(n) => self.interim.set(&left[n..]),
+                Err(e) if classify(&e) == ErrorClass::Repeat => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+
+    /// Looks at what stands against the first byte of a message; `None`: it has been written.
+    fn look(&self) -> io::Result<Option<Sent>> {
+        let first_byte = self.first_byte.borrow();
+        let Some(look) = first_byte.as_ref() else { return Ok(None) };
+        let facts = (look.facts)();
+        match may_send(&facts) {
+            Ok(()) => Ok(Some(Sent { facts, told_left: look.told_left })),
+            Err(denied) => {
+                self.denied.set(Some(denied));
+                self.ledger.iter().for_each(|l| l.denied.one_more(denied));
+                Err(io::Error::new(io::ErrorKind::ConnectionAborted, "the attempt is not to be written"))
+            }
+        }
+    }
+
+    /// Counts a rule that was broken.
+    fn broke(&self, violation: Option<Violation>) {
+        if let (Some(violation), Some(ledger)) = (violation, &self.ledger) {
+            super::violation(ledger, violation, "an attempt");
+        }
+    }
+
+    /// Waits out a shortage that was met just now.
+    fn poll_shortage(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut shortage = self.shortage.borrow_mut();
+        if let Some(wait) = shortage.as_mut() {
+            ready!(wait.as_mut().poll(cx));
+            *shortage = None;
+        }
+        Poll::Ready(())
+    }
+
+    /// What to do about a failed call; `None`: make it again.
+    fn failed(&self, error: io::Error) -> Option<io::Error> {
+        if error.kind() == io::ErrorKind::WouldBlock {
+            return None;
+        }
+        match classify(&error) {
+            ErrorClass::Repeat => None,
+            ErrorClass::Shortage if self.shortages.get() < SHORTAGES_MOST => {
+                self.shortages.set(self.shortages.get() + 1);
+                *self.shortage.borrow_mut() = Some(Box::pin(sleep(SHORTAGE_WAIT)));
+                None
+            }
+            _ => Some(error),
+        }
+    }
 }
 
 /// Hyper's end of a [`Socket`].
@@ -200,21 +272,27 @@
 impl Io {
     /// Reads into `part`; 0: the peer has ended its sending.
     pub fn poll_fill(&self, cx: &mut Context<'_>, part: &mut [u8]) -> Poll<io::Result<usize>> {
+        let socket = &self.0;
         loop {
-            ready!(self.0.stream.poll_read_ready(cx))?;
-            match self.0.stream.try_read(part) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Ok(n) if n > self.0.room.get() => {
+            ready!(socket.poll_shortage(cx));
+            ready!(socket.stream.poll_read_ready(cx))?;
+            match socket.stream.try_read(part) {
+                Ok(n) if n > socket.room.get() => {
                     return Poll::Ready(Err(io::Error::other("the answer does not end")));
                 }
                 Ok(n) => {
-                    if self.0.room.get() != usize::MAX {
-                        self.0.room.set(self.0.room.get() - n);
+                    if socket.room.get() != usize::MAX {
+                        socket.room.set(socket.room.get() - n);
                     }
-                    self.0.moved.set(Instant::now());
+                    socket.shortages.set(0);
+                    socket.moved.set(Instant::now());
                     return Poll::Ready(Ok(n));
                 }
-                failed => return Poll::Ready(failed),
+                Err(e) => {
+                    if let Some(e) = socket.failed(e) {
+                        return Poll::Ready(Err(e));
+                    }
+                }
             }
         }
     }
@@ -224,17 +302,27 @@
         cx: &mut Context<'_>,
         send: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
+        let socket = &self.0;
         loop {
-            if self.0.stream.poll_write_ready(cx)?.is_pending() {
-                self.0.stalled.set(true);
+            if socket.poll_shortage(cx).is_pending() || socket.stream.poll_write_ready(cx)?.is_pending() {
+                socket.stalled.set(true);
                 return Poll::Pending;
             }
-            match send(&self.0.stream) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                sent => {
-                    self.0.begun.set(true);
-                    self.0.moved.set(Instant::now());
-                    return Poll::Ready(sent);
+            let first = socket.look()?;
+            let sent = socket.write_interim().and_then(|()| send(&socket.stream));
+            match sent {
+                Ok(n) => {
+                    socket.begun.set(true);
+                    socket.shortages.set(0);
+                    socket.moved.set(Instant::now());
+                    socket.broke(first.as_ref().and_then(check_sent));
+                    *socket.first_byte.borrow_mut() = None;
+                    return Poll::Ready(Ok(n));
+                }
+                Err(e) => {
+                    if let Some(e) = socket.failed(e) {
+                        return Poll::Ready(Err(e));
+                    }
                 }
             }
         }
@@ -282,63 +370,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use http_body_util::Full;
-    use hyper::body::Bytes;
-    use hyper::client::conn::http1;
-    use hyper::Request;
-    use hyper_util::rt::TokioIo;
-    use tokio::io::AsyncReadExt;
-    use tokio::net::{TcpListener, TcpSocket};
-
-    /// Danger: a kept connection on which something has come would give it to the next request. Nothing here lets the
-    /// runtime look at its sockets between the writing and the question.
-    #[tokio::test(flavor = "current_thread")]
-    async fn what_has_come_is_seen_before_the_runtime_has_looked() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-        let stream = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("connected");
-        let (far, _) = listener.accept().await.expect("accepted");
-        far.writable().await.expect("writable");
-        let socket = Socket::new(stream, Descriptors::new(1).take().expect("a descriptor"));
-        assert!(socket.silent());
-        far.try_write(b"surplus").expect("written");
-        assert!(!socket.silent());
-    }
-
-    /// Danger: taken for unwritten, a request that ran would be sent again; taken for written, one that never
-    /// ran would be failed.
-    #[tokio::test(flavor = "current_thread")]
-    async fn a_message_is_whole_once_its_last_byte_is_written() {
-        const LENGTH: usize = 1 << 20;
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-        let near = TcpSocket::new_v4().expect("a socket");
-        near.set_send_buffer_size(4096).expect("a small buffer");
-        let stream = near.connect(listener.local_addr().expect("an address")).await.expect("connected");
-        let (mut far, _) = listener.accept().await.expect("accepted");
-        let socket = Socket::new(stream, Descriptors::new(1).take().expect("a descriptor"));
-        let (mut sender, connection) = http1::handshake(TokioIo::new(Io(socket.clone()))).await.expect("up");
-        let request = Request::put("/a").body(Full::new(Bytes::from(vec![b'x'; LENGTH]))).expect("a request");
-        let exchange = async { tokio::join!(connection, sender.send_request(request)) };
-        let mut exchange = std::pin::pin!(exchange);
-        // The first bytes have come, but the buffers between hold only a part of the rest.
-        let mut first = [0; 1];
-        tokio::select! {
-            _ = exchange.as_mut() => panic!("ended"),
-            read = far.read_exact(&mut first) => { read.expect("read"); }
-        }
-        assert!(!socket.whole());
-        let mut rest = vec![0; LENGTH];
-        tokio::select! {
-            _ = exchange.as_mut() => panic!("ended"),
-            read = far.read_exact(&mut rest) => { read.expect("read"); }
-        }
-        // The head is still to be read, so that the last byte may not have been written yet.
-        let head = "PUT /a HTTP/1.1\r\ncontent-length: 1048576\r\n\r\n".len() - 1;
-        tokio::select! {
-            _ = exchange.as_mut() => panic!("ended"),
-            read = far.read_exact(&mut rest[..head]) => { read.expect("read"); }
-        }
-        assert!(socket.whole());
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/net/trace.rs
@@ -0,0 +1,92 @@
+//! What happens to each request, attempt and connection, a line each on standard error, for whoever follows one through. Off unless
+//! `PROXY_TRACE` is set; while it is off an event costs a look at a flag.
+
+use crate::api::{ServerId, Status};
+use rushquay_guard::{CloseCause, Label, SendDenied};
+use rushquay_operate::Cause;
+use std::cell::Cell;
+use std::fmt;
+use std::io::Write as _;
+use std::time::Instant;
+
+/// Switches the trace on, whatever its value.
+const VARIABLE: &str = "PROXY_TRACE";
+
+thread_local! {
+    // A proxy is one thread.
+    static START: Cell<Option<Instant>> = const { Cell::new(None) };
+}
+
+/// Something that happened. Requests are named by their X-Correlation-Id, connections by their number in this process.
+pub enum Event<'a> {
+    /// The process is in this state from now on.
+    State { state: &'static str },
+    /// A client's connection was taken.
+    Connected { connection: u64 },
+    /// A client's connection has ended.
+    Closed { connection: u64, cause: CloseCause },
+    /// A request was read.
+    Read { request: &'a str, connection: u64, class: &'a str, left_ms: u64, waited_ms: u64 },
+    /// An attempt was handed over.
+    Attempt { request: &'a str, number: usize, node: ServerId, after: Option<Cause> },
+    /// An attempt was denied at its last look.
+    Denied { request: &'a str, node: ServerId, denied: SendDenied },
+    /// An attempt has ended.
+    Ended { request: &'a str, number: usize, node: ServerId, status: Status },
+    /// A request has its final answer; `after`: what preceded a refusal or a failure.
+    Answered { request: &'a str, status: u16, after: Option<Cause> },
+    /// The client of a request has gone.
+    Gone { request: &'a str },
+    /// A list of nodes was taken.
+    List { entries: usize },
+}
+
+fn name(cause: &Option<Cause>) -> &'static str {
+    cause.map_or("first", Label::name)
+}
+
+impl fmt::Display for Event<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Event::State { state } => write!(f, "state {state}"),
+            Event::Connected { connection } => write!(f, "connected connection={connection}"),
+            Event::Closed { connection, cause } => {
+                write!(f, "closed connection={connection} cause={}", cause.name())
+            }
+            Event::Read { request, connection, class, left_ms, waited_ms } => write!(
+                f,
+                "read request={request} connection={connection} class={class} left_ms={left_ms} waited_ms={waited_ms}"
+            ),
+            Event::Attempt { request, number, node, after } => {
+                write!(f, "attempt request={request} number={number} node={node:016x} after={}", name(after))
+            }
+            Event::Denied { request, node, denied } => {
+                write!(f, "denied request={request} node={node:016x} cause={}", denied.name())
+            }
+            Event::Ended { request, number, node, status } => {
+                write!(f, "ended request={request} number={number} node={node:016x} status={status:?}")
+            }
+            Event::Answered { request, status, after } => {
+                write!(f, "answered request={request} status={status}")?;
+                after.map_or(Ok(()), |after| write!(f, " after={}", after.name()))
+            }
+            Event::Gone { request } => write!(f, "gone request={request}"),
+            Event::List { entries } => write!(f, "list entries={entries}"),
+        }
+    }
+}
+
+/// Starts the trace where it is asked for.
+pub fn start() {
+    if std::env::var_os(VARIABLE).is_some() {
+        START.set(Some(Instant::now()));
+    }
+}
+
+/// Writes an event down, where a trace is kept.
+pub fn event<'a>(event: impl FnOnce() -> Event<'a>) {
+    if let Some(start) = START.get() {
+        let _ =
+            writeln!(std::io::stderr(), "rushquay: trace {:.6} {}", start.elapsed().as_secs_f64(), event());
+    }
+}
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,21 +1,24 @@
 //! Connections to cache nodes and the origin, and one attempt on one of them with its outcome.
 
 use super::account::{self, Kind};
-use super::body::{beginning, LongAnswer, Returns, Upload, BODY_PATIENCE};
-use super::socket::{Descriptors, Io, Socket};
+use super::body::{steady, LongAnswer, Returns};
+use super::descriptors::Descriptors;
+use super::headers::TIME_LEFT;
+use super::job::{Cancellation, Ended, Job, JobBody, Span};
+use super::reading::{read, Read};
+use super::socket::{FirstByte, Io, Socket};
+use super::trace::{self, Event};
 use super::{Body, BODY_MOST, BUFFER_MOST};
 use crate::api::{Entry, Nanos, ServerId, Settings, State, Status};
-use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{
-    HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING,
-};
-use hyper::http::response::Parts;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::header::{HeaderValue, CONNECTION, HOST};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use rushquay_fleet::Keep;
-use rushquay_operate::Ledger;
+use rushquay_guard::{may_send, NodeStanding, SendDenied, SendFacts};
+use rushquay_operate::{Ledger, NodeCloseCause};
 use rushquay_pools::{Breakers, Importance, Trip};
+use rushquay_sockets::{connect, ConnectError};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -26,108 +29,26 @@
 use tokio::task::AbortHandle;
 use tokio::time::{timeout_at, Instant};
 
-pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
-const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 /// So many bytes may come in answer to a request: a body, what frames it, and interim answers ahead. Danger: hyper
 /// reads on for as long as interim answers come, and hands none of them over.
 const ANSWER_MOST: usize = 2 * BODY_MOST;
-/// An answer of no told length is held for so long before it is passed on.
-const HOLD_MOST: Duration = Duration::from_millis(500);
-const LOOKUP: HeaderName = HeaderName::from_static("x-lookup");
-
-/// A client's request as it goes on to any cache node.
-pub struct Job {
-    pub method: Method,
-    pub uri: Uri,
-    pub headers: HeaderMap,
-    pub body: JobBody,
-}
-
-/// A request's body.
-pub enum JobBody {
-    /// Held whole.
-    Whole(Bytes),
-    /// Passed on as it comes.
-    Long(Rc<Upload>),
-}
 
-impl Job {
-    /// Its body, where that is passed on as it comes.
-    pub fn upload(&self) -> Option<&Rc<Upload>> {
-        match &self.body {
-            JobBody::Whole(_) => None,
-            JobBody::Long(upload) => Some(upload),
-        }
-    }
+/// A dial for which this machine lacks ports, buffers or descriptors is made again after this, so often at most.
+const SHORTAGE_WAIT: Duration = Duration::from_millis(3);
+const SHORT_DIALS_MOST: u32 = 4;
 
-    /// Whether an attempt could still send the whole of it.
-    pub fn may_send(&self) -> bool {
-        self.upload().is_none_or(|u| u.may_send())
-    }
-}
-
-/// How long an attempt may take, from now.
+/// When an attempt has to be over, begun, and worth nothing any more, on the clock of [`steady`].
 #[derive(Clone, Copy)]
-pub struct Span {
-    /// All of it.
-    pub whole: Duration,
-    /// Until its first byte; `None`: nothing but the whole bounds it. Danger: whoever remembers the attempt before does so for a
-    /// time alone, which may be over once a connection has come up.
-    pub begin: Option<Duration>,
-}
-
-impl Span {
-    /// With no bound on its beginning.
-    pub fn of(whole: Duration) -> Self {
-        Span { whole, begin: None }
-    }
-}
-
-/// The same as moments.
 struct Due {
-    whole: Instant,
-    begin: Option<Instant>,
-}
-
-/// What came of an attempt.
-pub struct Ended {
-    pub status: Status,
-    /// The status of its answer, as it came; 0: none did.
-    pub code: u16,
-    pub hit: Option<bool>,
-    /// The answer, where it was served.
-    pub answer: Option<Response<Body>>,
-}
-
-impl From<Status> for Ended {
-    fn from(status: Status) -> Self {
-        Ended { status, code: 0, hit: None, answer: None }
-    }
+    whole: Nanos,
+    begin: Option<Nanos>,
+    client: Nanos,
 }
 
-/// The caller's hold on an attempt while it is out.
-#[derive(Default)]
-pub struct Tether {
-    socket: RefCell<Option<Rc<Socket>>>,
-    barred: Cell<bool>,
-}
-
-impl Tether {
-    /// The request is over: what is not yet written stays unwritten. Danger: between the last look at this and the first byte
-    /// another task writes; a connection on which nothing has been written yet must not carry it then.
-    pub fn bar(&self) {
-        self.barred.set(true);
-        if let Some(socket) = self.socket.borrow().as_ref().filter(|s| !s.begun()) {
-            socket.close();
-        }
-    }
-
-    /// Closes the connection now. Danger: the task that writes it may run before the one that is aborted.
-    pub fn cut(&self) {
-        self.barred.set(true);
-        if let Some(socket) = self.socket.take() {
-            socket.close();
-        }
+impl Due {
+    fn of(span: &Span, now: Nanos) -> Self {
+        let at = |span: Duration| now.saturating_add(span.as_nanos() as Nanos);
+        Due { whole: at(span.whole), begin: span.begin.map(at), client: at(span.client) }
     }
 }
 
@@ -138,6 +59,9 @@
     driver: AbortHandle,
     /// Requests that it has carried.
     uses: u32,
+    /// Why it would end now.
+    cause: Cell<NodeCloseCause>,
+    ledger: Arc<Ledger>,
     _counted: [Counted; 2],
 }
 
@@ -164,15 +88,28 @@
     fn clean(&self) -> bool {
         !self.sender.is_closed() && self.socket.silent()
     }
+
+    /// Ends it for this reason.
+    fn end(self, cause: NodeCloseCause) {
+        self.cause.set(cause);
+    }
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        self.ledger.node_closes.one_more(self.cause.get());
         self.socket.close();
         self.driver.abort();
     }
 }
 
+/// Where a node takes new work, and in which of its states.
+struct Place {
+    addr: SocketAddr,
+    kind: u32,
+    epoch: u64,
+}
+
 struct Idle {
     connection: Connection,
     since: Instant,
@@ -191,6 +128,13 @@
     figures: Rc<Figures>,
 }
 
+impl Node {
+    /// Ends its idle connections for this reason.
+    fn end_idle(&mut self, cause: NodeCloseCause) {
+        self.idle.drain(..).for_each(|idle| idle.connection.end(cause));
+    }
+}
+
 /// What passed at a node.
 #[derive(Default)]
 pub struct Figures {
@@ -270,6 +214,11 @@
         })
     }
 
+    /// Where all is counted.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
     /// Other bounds for connections from now on.
     pub fn bound(&self, bounds: Bounds) {
         let longest = bounds.idle_most.as_nanos() as Nanos;
@@ -296,23 +245,31 @@
         let mut nodes = self.nodes.borrow_mut();
         if whole {
             let named: FxHashSet<ServerId> = entries.iter().map(|(e, _)| e.server).collect();
-            nodes.retain(|server, _| named.contains(server));
+            nodes.retain(|server, node| {
+                let stays = named.contains(server);
+                if !stays {
+                    node.end_idle(NodeCloseCause::NodeChanged);
+                }
+                stays
+            });
         }
         for (entry, addr) in entries {
             if entry.state == State::Gone {
-                nodes.remove(&entry.server);
+                if let Some(mut node) = nodes.remove(&entry.server) {
+                    node.end_idle(NodeCloseCause::NodeChanged);
+                }
                 continue;
             }
             let ready = entry.state == State::Ready;
-            let old = nodes.get_mut(&entry.server);
+            let mut old = nodes.get_mut(&entry.server);
             if old.as_ref().is_some_and(|n| n.addr == *addr && n.started == entry.started && n.ready == ready)
             {
                 continue;
             }
+            old.iter_mut().for_each(|n| n.end_idle(NodeCloseCause::NodeChanged));
             self.epochs.set(self.epochs.get() + 1);
             let epoch = self.epochs.get();
             let (figures, grouped) = old.map(|n| (n.figures.clone(), n.grouped)).unwrap_or_default();
-            // The idle connections of the old one close here.
             let (addr, kind, started, idle) = (*addr, entry.kind, entry.started, Vec::new());
             nodes.insert(entry.server, Node { addr, kind, started, ready, epoch, idle, grouped, figures });
         }
@@ -336,7 +293,7 @@
         for node in self.nodes.borrow_mut().values_mut() {
             self.epochs.set(self.epochs.get() + 1);
             node.epoch = self.epochs.get();
-            node.idle.clear();
+            node.end_idle(NodeCloseCause::NodeChanged);
         }
     }
 
@@ -368,7 +325,7 @@
     /// Closes the idle connections to a node.
     pub fn close_idle(&self, server: ServerId) {
         if let Some(node) = self.nodes.borrow_mut().get_mut(&server) {
-            node.idle.clear();
+            node.end_idle(NodeCloseCause::NodeChanged);
         }
     }
 
@@ -376,7 +333,10 @@
     pub fn sweep(&self) {
         for node in self.nodes.borrow_mut().values_mut().filter(|n| !n.idle.is_empty()) {
             let (most, before) = (self.span(node.kind), node.idle.len());
-            node.idle.retain(|i| i.since.elapsed() < most && !i.connection.sender.is_closed());
+            node.idle.retain(|i| {
+                i.connection.cause.set(NodeCloseCause::Idle);
+                i.since.elapsed() < most && !i.connection.sender.is_closed()
+            });
             account::count(Kind::ClosedIdle, (before - node.idle.len()) as u64);
         }
     }
@@ -385,7 +345,7 @@
     pub fn yield_idle(&self) -> bool {
         let mut nodes = self.nodes.borrow_mut();
         let oldest = nodes.values_mut().filter(|n| !n.idle.is_empty()).min_by_key(|n| n.idle[0].since);
-        oldest.map(|n| n.idle.remove(0)).is_some()
+        oldest.map(|n| n.idle.remove(0).connection.end(NodeCloseCause::MadeRoom)).is_some()
     }
 
     /// One attempt.
@@ -394,12 +354,12 @@
         server: ServerId,
         job: &Job,
         span: Span,
-        tether: &Tether,
+        cancellation: &Rc<Cancellation>,
         importance: Importance,
     ) -> Ended {
         let Some(figures) = self.figures(server) else { return Status::Moot.into() };
         let _out = Counted::new(&figures.out);
-        let ended = self.timed(server, job, span, tether, importance).await;
+        let ended = self.timed(server, job, span, cancellation, importance).await;
         if ended.status != Status::Moot {
             figures.attempts.set(figures.attempts.get() + 1);
             let served = matches!(ended.status, Status::Ok | Status::Miss);
@@ -413,31 +373,47 @@
         server: ServerId,
         job: &Job,
         span: Span,
-        tether: &Tether,
+        cancellation: &Rc<Cancellation>,
         importance: Importance,
     ) -> Ended {
-        let now = Instant::now();
-        let due = Due { whole: now + span.whole, begin: span.begin.map(|begin| now + begin) };
-        match timeout_at(due.whole, self.exchange(server, job, &due, tether, importance)).await {
+        let due = Due::of(&span, steady());
+        let until = Instant::now() + span.whole;
+        match timeout_at(until, self.exchange(server, job, due, cancellation, importance)).await {
             Ok(ended) => ended,
-            Err(_) => {
-                let written = tether.socket.borrow().as_ref().is_some_and(|s| s.whole());
-                // A request that was not written whole has not run.
-                if written { Status::Timeout } else { Status::ConnectFailed }.into()
-            }
+            // A request that was not written whole has not run.
+            Err(_) if cancellation.written() => Status::Timeout.into(),
+            Err(_) => Status::ConnectFailed.into(),
         }
     }
 
+    /// What is known of an attempt that is to be written now at this state of its node.
+    fn facts(&self, server: ServerId, epoch: u64, due: Due, cancellation: &Cancellation) -> SendFacts {
+        let same = self.open_to(server).is_some_and(|place| place.epoch == epoch);
+        SendFacts {
+            now: steady(),
+            request: cancellation.request(),
+            node: if same { NodeStanding::Ready } else { NodeStanding::Left },
+            deadline: due.whole,
+            repeat_by: due.begin,
+        }
+    }
+
+    /// An attempt that must not be written: it says nothing of its node.
+    fn denied(&self, job: &Job, server: ServerId, denied: SendDenied) -> Ended {
+        trace::event(|| Event::Denied { request: job.id(), node: server, denied });
+        Status::Moot.into()
+    }
+
     async fn exchange(
         self: &Rc<Self>,
         server: ServerId,
         job: &Job,
-        due: &Due,
-        tether: &Tether,
+        due: Due,
+        cancellation: &Rc<Cancellation>,
         importance: Importance,
     ) -> Ended {
         loop {
-            let Some((addr, kind, epoch)) = self.open_to(server) else { return Status::Moot.into() };
+            let Some(Place { addr, kind, epoch }) = self.open_to(server) else { return Status::Moot.into() };
             let (mut connection, reused) = match self.newest(server) {
                 Some(connection) => (connection, true),
                 None => match self.connect(server, addr, importance).await {
@@ -452,17 +428,27 @@
                 return Status::ConnectFailed.into();
             }
             // Danger: while the connection came up the node may have been told to drain or have restarted, the request may
-            // have had its answer or its client have gone, or its repeat be remembered no longer. Nothing may be written
-            // then.
-            let late = due.begin.is_some_and(|begin| Instant::now() >= begin);
-            if late || tether.barred.get() || self.open_to(server).is_none_or(|(_, _, now)| now != epoch) {
-                return Status::Moot.into();
+            // have had its answer or its client have gone, or its repeat be remembered no longer. It is looked at once more
+            // where its first byte is written.
+            if let Err(denied) = may_send(&self.facts(server, epoch, due, cancellation)) {
+                self.ledger.denied.one_more(denied);
+                connection.end(NodeCloseCause::NodeChanged);
+                return self.denied(job, server, denied);
             }
-            connection.socket.begin(ANSWER_MOST);
+            let told_left = due.whole.saturating_sub(steady());
+            let (pool, looks_at) = (self.clone(), cancellation.clone());
+            let facts = Box::new(move || SendFacts {
+                deadline: due.client,
+                ..pool.facts(server, epoch, due, &looks_at)
+            });
+            connection.socket.begin(ANSWER_MOST, Some(FirstByte { facts, told_left }));
             connection.uses += 1;
-            tether.socket.replace(Some(connection.socket.clone()));
-            let sent = connection.sender.send_request(request(job, addr, due.whole)).await;
+            cancellation.on(&connection.socket);
+            let sent = connection.sender.send_request(request(job, addr, told_left)).await;
             let Ok(response) = sent else {
+                if let Some(denied) = connection.socket.denied() {
+                    return self.denied(job, server, denied);
+                }
                 // Danger: after its last byte the request may have run, and is not for this side to repeat.
                 if connection.socket.whole() {
                     return Status::Reset.into();
@@ -472,47 +458,67 @@
                 }
                 return Status::ConnectFailed.into();
             };
-            let closing = response.headers().get(CONNECTION).is_some_and(|v| v == "close");
-            let Read { mut ended, reusable, long } = read(response).await;
-            if !reused && ended.status == Status::Full && closing {
-                // Danger: a node whose table of connections is full closes a new one with such an answer, and serves
-                // those that it has. To be told so is to have no connection, which is not to meet a full queue.
-                account::count(Kind::TurnedAway, 1);
-                self.steer(kind, Keep::turned_away);
-                ended.status = Status::ConnectFailed;
-            } else if !reused {
-                self.steer(kind, Keep::taken);
-            }
-            let mut uses = 0;
-            self.steer(kind, |keep| uses = keep.uses());
-            let reusable = reusable && connection.uses < uses;
-            if let Some((head, held, rest, length)) = long {
-                // What comes from here on is bounded by what the client takes.
-                connection.socket.unbound();
-                let to = reusable.then(|| (self.clone(), server, epoch));
-                let answer = LongAnswer::new(held, rest, length, Returning { connection, to });
-                ended.answer = Some(Response::from_parts(head, Body::answer(answer)));
-            } else if reusable && connection.socket.whole() {
-                self.keep(server, epoch, connection);
-            }
-            return ended;
+            return self.answered(server, kind, epoch, connection, reused, response).await;
         }
     }
 
+    /// Reads an answer, and keeps its connection where it can be used again.
+    async fn answered(
+        self: &Rc<Self>,
+        server: ServerId,
+        kind: u32,
+        epoch: u64,
+        connection: Connection,
+        reused: bool,
+        response: Response<hyper::body::Incoming>,
+    ) -> Ended {
+        let closing = response.headers().get(CONNECTION).is_some_and(|v| v == "close");
+        let Read { mut ended, reusable, long } = read(response).await;
+        if !reused && ended.status == Status::Full && closing {
+            // Danger: a node whose table of connections is full closes a new one with such an answer, and serves
+            // those that it has. To be told so is to have no connection, which is not to meet a full queue.
+            account::count(Kind::TurnedAway, 1);
+            self.steer(kind, Keep::turned_away);
+            ended.status = Status::ConnectFailed;
+        } else if !reused {
+            self.steer(kind, Keep::taken);
+        }
+        let mut uses = 0;
+        self.steer(kind, |keep| uses = keep.uses());
+        let reusable = reusable && connection.uses < uses;
+        if let Some((head, held, rest, length)) = long {
+            // What comes from here on is bounded by what the client takes.
+            connection.socket.unbound();
+            let to = reusable.then(|| (self.clone(), server, epoch));
+            let answer = LongAnswer::new(held, rest, length, Returning { connection, to });
+            ended.answer = Some(Response::from_parts(head, Body::answer(answer)));
+        } else if reusable && connection.socket.whole() {
+            self.keep(server, epoch, connection);
+        } else {
+            connection.end(NodeCloseCause::Finished);
+        }
+        ended
+    }
+
     /// Where a node takes new work.
-    fn open_to(&self, server: ServerId) -> Option<(SocketAddr, u32, u64)> {
+    fn open_to(&self, server: ServerId) -> Option<Place> {
         let nodes = self.nodes.borrow();
         let node = nodes.get(&server).filter(|n| n.ready)?;
-        Some((node.addr?, node.kind, node.epoch))
+        Some(Place { addr: node.addr?, kind: node.kind, epoch: node.epoch })
     }
 
     fn newest(&self, server: ServerId) -> Option<Connection> {
         let mut nodes = self.nodes.borrow_mut();
         let node = nodes.get_mut(&server)?;
         let most = self.span(node.kind);
-        while let Some(i) = node.idle.pop() {
-            if i.since.elapsed() < most && i.connection.clean() {
-                return Some(i.connection);
+        while let Some(Idle { connection, since }) = node.idle.pop() {
+            if since.elapsed() >= most {
+                connection.end(NodeCloseCause::Idle);
+            } else if connection.clean() {
+                connection.cause.set(NodeCloseCause::Failed);
+                return Some(connection);
+            } else {
+                connection.end(NodeCloseCause::NotClean);
             }
         }
         None
@@ -520,10 +526,11 @@
 
     fn keep(&self, server: ServerId, epoch: u64, connection: Connection) {
         if !connection.clean() {
-            return;
+            return connection.end(NodeCloseCause::NotClean);
         }
-        if let Some(node) = self.nodes.borrow_mut().get_mut(&server).filter(|n| n.epoch == epoch && n.ready) {
-            node.idle.push(Idle { connection, since: Instant::now() });
+        match self.nodes.borrow_mut().get_mut(&server).filter(|n| n.epoch == epoch && n.ready) {
+            Some(node) => node.idle.push(Idle { connection, since: Instant::now() }),
+            None => connection.end(NodeCloseCause::NodeChanged),
         }
     }
 
@@ -565,15 +572,31 @@
         };
         let first = figures.connections.get() == 1;
         account::count(if first { Kind::HandshakeNew } else { Kind::HandshakeBusy }, 1);
-        let connecting = tokio::time::timeout(timeout, TcpStream::connect(addr)).await;
-        let Ok(Ok(stream)) = connecting else { return Err(Status::ConnectFailed) };
+        let until = Instant::now() + timeout;
+        let stream = self.dial(addr, until).await?;
         let socket = Socket::counted(stream, permit, self.ledger.clone());
         // Danger: by default hyper reads a head of some 400 KB before it gives up.
         let shaken =
             http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(TokioIo::new(Io(socket.clone())));
         let (sender, driver) = shaken.await.map_err(|_| Status::ConnectFailed)?;
         let driver = tokio::task::spawn_local(driver).abort_handle();
-        Ok(Connection { sender, socket, driver, uses: 0, _counted: counted })
+        let (cause, ledger) = (Cell::new(NodeCloseCause::Failed), self.ledger.clone());
+        Ok(Connection { sender, socket, driver, uses: 0, cause, ledger, _counted: counted })
+    }
+
+    /// Dials a node. Danger: what this machine lacks would count against its nodes, and all would be left at once.
+    async fn dial(&self, addr: SocketAddr, until: Instant) -> Result<TcpStream, Status> {
+        for _ in 0..SHORT_DIALS_MOST {
+            match timeout_at(until, connect(addr)).await {
+                Ok(Ok(stream)) => return Ok(stream),
+                Ok(Err(ConnectError::Shortage(_))) => {
+                    self.yield_idle();
+                    tokio::time::sleep_until(until.min(Instant::now() + SHORTAGE_WAIT)).await;
+                }
+                Ok(Err(ConnectError::Unreached(_))) | Err(_) => return Err(Status::ConnectFailed),
+            }
+        }
+        Err(Status::Moot)
     }
 }
 
@@ -592,7 +615,7 @@
     }
 }
 
-fn request(job: &Job, addr: SocketAddr, due: Instant) -> Request<Body> {
+fn request(job: &Job, addr: SocketAddr, told_left: Nanos) -> Request<Body> {
     let mut request = Request::new(match &job.body {
         JobBody::Whole(bytes) => Body::new(bytes.clone()),
         JobBody::Long(upload) => Body::upload(upload),
@@ -601,7 +624,7 @@
     *request.uri_mut() = job.uri.clone();
     let headers = request.headers_mut();
     *headers = job.headers.clone();
-    let left = due.saturating_duration_since(Instant::now()).as_secs_f64();
+    let left = Duration::from_nanos(told_left).as_secs_f64();
     if let Ok(left) = HeaderValue::try_from(format!("{left:.4}")) {
         headers.insert(TIME_LEFT, left);
     }
@@ -613,72 +636,5 @@
     request
 }
 
-/// Whether an answer's head is one that no node in its right mind sends: a switch of protocols, a length that
-/// contradicts itself, or none, so that a broken body could not be told from a whole one.
-fn spoilt(response: &Response<Incoming>) -> bool {
-    let headers = response.headers();
-    let (told, coded) = (headers.contains_key(CONTENT_LENGTH), headers.contains_key(TRANSFER_ENCODING));
-    response.status().is_informational()
-        || told && coded
-        || !told && !coded && !response.body().is_end_stream()
-}
-
-/// An answer that was read to its end, or to the end of what is held.
-struct Read {
-    ended: Ended,
-    /// Whether the connection can carry another request behind it.
-    reusable: bool,
-    /// Of a long one: its head, what is held, what still comes, and the length of the whole.
-    long: Option<(Parts, Bytes, Incoming, Option<u64>)>,
-}
-
-impl Read {
-    fn spoilt() -> Self {
-        Read { ended: Status::Reset.into(), reusable: false, long: None }
-    }
-}
-
-/// Reads an answer to its end, if it is short. Danger: passing on a body while it still comes leaves the client with half an
-/// answer when it breaks, so that is done only with what is too long to be held. What can't be read may have run.
-async fn read(response: Response<Incoming>) -> Read {
-    if spoilt(&response) {
-        return Read::spoilt();
-    }
-    let (head, mut body) = response.into_parts();
-    let length = body.size_hint().exact();
-    let (held, whole) = match length {
-        Some(length) if length > BODY_MOST as u64 && head.status == StatusCode::OK => (Bytes::new(), false),
-        length => {
-            // Where no length is told it may be a long one, whose first bytes must not wait for long.
-            let hold = length.is_none().then_some(HOLD_MOST);
-            match beginning(&mut body, BODY_PATIENCE, hold).await {
-                Ok(read) => read,
-                Err(_) => return Read::spoilt(),
-            }
-        }
-    };
-    let unprocessed = head.headers.get(&UNPROCESSED).is_some_and(|v| v == "1");
-    let status = match head.status {
-        StatusCode::OK => Status::Ok,
-        // Only what is served is passed on.
-        _ if !whole => return Read::spoilt(),
-        StatusCode::NOT_FOUND => Status::Miss,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Status::Full,
-        _ => Status::Error,
-    };
-    let code = head.status.as_u16();
-    let hit = head.headers.get(&LOOKUP).map(|v| v == "hit");
-    let mut ended = Ended { status, code, hit, answer: None };
-    let long = match (status, whole) {
-        (Status::Ok, false) => Some((head, held, body, length)),
-        (Status::Ok, true) => {
-            ended.answer = Some(Response::from_parts(head, Body::new(held)));
-            None
-        }
-        _ => None,
-    };
-    Read { ended, reusable: true, long }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/net/upstream/tests.rs
+++ b/src/net/upstream/tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use hyper::body::Bytes;
+use hyper::{HeaderMap, Method, StatusCode, Uri};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 
@@ -17,7 +19,7 @@
         body: JobBody::Whole(Bytes::new()),
     };
     let ended = upstreams
-        .attempt(1, &job, Span::of(Duration::from_secs(30)), &Tether::default(), Importance::Default)
+        .attempt(1, &job, Span::of(Duration::from_secs(30)), &Rc::default(), Importance::Default)
         .await;
     assert_eq!(ended.status, Status::Moot);
 }
@@ -31,18 +33,26 @@
     (socket, far)
 }
 
+/// A message is about to be written on this connection, for an attempt that may be called off.
+fn guarded(socket: &Rc<Socket>) -> Rc<Cancellation> {
+    let cancellation = Rc::new(Cancellation::default());
+    let looks_at = cancellation.clone();
+    let facts = move || SendFacts { request: looks_at.request(), deadline: 1, ..SendFacts::default() };
+    socket.begin(ANSWER_MOST, Some(FirstByte { facts: Box::new(facts), told_left: 0 }));
+    cancellation.on(socket);
+    cancellation
+}
+
 /// Danger: between the last look and the first byte the request may get its answer. The connection's own task writes.
 #[tokio::test(flavor = "current_thread")]
 async fn what_is_barred_before_its_first_byte_is_not_written_by_the_task_of_its_connection() {
     let (socket, mut far) = pair().await;
     let (mut sender, driver) = http1::handshake(TokioIo::new(Io(socket.clone()))).await.expect("up");
-    let tether = Tether::default();
-    socket.begin(ANSWER_MOST);
-    tether.socket.replace(Some(socket.clone()));
+    let cancellation = guarded(&socket);
     // Handed over, and not written: its connection's task has not run.
     let mut sending = std::pin::pin!(sender.send_request(Request::new(Body::default())));
     assert!(futures_poll(sending.as_mut()).is_none());
-    tether.bar();
+    cancellation.answered();
     let mut came = Vec::new();
     let ended = async { tokio::join!(driver, sending) };
     tokio::select! {
@@ -57,9 +67,7 @@
 async fn what_is_barred_behind_its_first_byte_goes_on() {
     let (socket, mut far) = pair().await;
     let (mut sender, driver) = http1::handshake(TokioIo::new(Io(socket.clone()))).await.expect("up");
-    let tether = Tether::default();
-    socket.begin(ANSWER_MOST);
-    tether.socket.replace(Some(socket.clone()));
+    let cancellation = guarded(&socket);
     let mut exchange =
         std::pin::pin!(async { tokio::join!(driver, sender.send_request(Request::new(Body::default()))) });
     let mut first = [0; 1];
@@ -67,7 +75,7 @@
         _ = exchange.as_mut() => panic!("ended"),
         read = far.read_exact(&mut first) => { read.expect("read"); }
     }
-    tether.bar();
+    cancellation.answered();
     assert!(far.try_write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").is_ok());
     drop(far);
     let (_, sent) = exchange.await;
