Add a soak of two dozen processes under troubles that overlap, judged by invariants

Change: tests/soak (21 proxies, three control services on one store; restarts, hand-overs, pauses, kills, half-written reloads, stopped control services, discovery down, drains, nodes that hang or break off, calls that fail, two or three at a time from a seed), strict clients of six habits in crates/harness, a preloaded library whose calls fail (tests/shim), nodes that hang and break. Judged by what clients were owed, what nodes got, drains, effects, a leader within 15 s, and the proxies' own count of broken rules.

--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -47,6 +47,8 @@
     pub policy: Option<(String, String)>,
     /// The control services share this etcd in place of a file.
     pub etcd: Option<String>,
+    /// What classes give a request at most.
+    pub deadline: Duration,
 }
 
 impl Shape {
@@ -65,6 +67,7 @@
             spare: 0,
             policy: None,
             etcd: None,
+            deadline: Duration::from_secs(10),
         }
     }
 }
@@ -87,7 +90,8 @@
     pub zone: &'static str,
     /// Its process; `None`: it is down.
     pub process: Option<Process>,
-    listen: SocketAddr,
+    /// Where clients connect, without a relay between.
+    pub listen: SocketAddr,
     config: PathBuf,
     rollout: PathBuf,
     subscription: PathBuf,
@@ -243,7 +247,7 @@
         settings["categories"].as_array_mut().expect("classes").push(plan);
         for class in settings["categories"].as_array_mut().expect("classes") {
             class["allowed_in"] = json!([0, 1, 2]);
-            class["deadline_ns"] = json!(10_000_000_000u64);
+            class["deadline_ns"] = json!(self.shape.deadline.as_nanos() as u64);
         }
         write(&config, &told.to_string());
         let policy = self.shape.policy.as_ref().map(|(_, text)| {
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -14,6 +14,8 @@
 mod history;
 mod http;
 mod process;
+mod shim;
+mod strict;
 
 pub use broken::{told, Broken, Part};
 pub use changes::{in_order, phase, start, words};
@@ -23,6 +25,8 @@
 pub use history::{History, Line};
 pub use http::call;
 pub use process::{skewed, Process};
+pub use shim::Faults;
+pub use strict::{Asked, Broken as BrokenPromise, Habit, StrictClients, HABITS};
 
 use std::time::Duration;
 
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -106,6 +106,11 @@
         self.signal(Signal::TERM, "told to end");
     }
 
+    /// Has it read its settings again (SIGHUP).
+    pub fn hang_up(&mut self) {
+        self.signal(Signal::HUP, "told to read its settings again");
+    }
+
     /// Kills it (SIGKILL) and waits until it is gone.
     pub fn kill(&mut self) {
         self.signal(Signal::KILL, "killed");
@@ -124,6 +129,18 @@
         }
     }
 
+    /// Whether it ends within this time by itself, and well.
+    pub async fn ends_within(&mut self, most: Duration) -> bool {
+        let until = Instant::now() + most;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().expect("its state") {
+                return status.success();
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        false
+    }
+
     /// Whether it runs.
     pub fn runs(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// For so long a token is remembered, and a repeat of it dropped.
@@ -15,6 +16,8 @@
 #[derive(Default)]
 struct Book {
     sent: Vec<(Instant, String)>,
+    /// The time left that each was told, in seconds.
+    told_left: Vec<(Instant, String, f64)>,
     ran: Vec<(Instant, String)>,
     /// When the first request with a token ran.
     tokens: HashMap<String, Instant>,
@@ -27,12 +30,23 @@
     slower: AtomicU64,
     /// Of a thousand requests so many end in 500.
     failing: AtomicU64,
+    /// Of a thousand requests so many have their connection broken off once they were read.
+    breaking: AtomicU64,
+    read: AtomicU64,
+    /// Requests are read and not answered for as long as this holds.
+    hanging: watch::Sender<bool>,
     /// Only those whose path begins so; empty: all.
     under: Mutex<String>,
     asked: AtomicU64,
 }
 
 impl Manner {
+    /// Whether the connection of a request is broken off.
+    fn breaks(&self) -> bool {
+        let (read, breaking) = (self.read.fetch_add(1, Relaxed), self.breaking.load(Relaxed));
+        (read + 1) * breaking / 1000 > read * breaking / 1000
+    }
+
     /// What a request meets: a wait beyond the usual, and whether it fails.
     fn meets(&self, path: &str) -> (Duration, bool) {
         if !path.starts_with(self.under.lock().unwrap_or_else(PoisonError::into_inner).as_str()) {
@@ -80,17 +94,24 @@
         let (addr, task) = http_at(addr, move |request| {
             let (book, name) = (booked.clone(), name.clone());
             let (slower, fails) = mannered.meets(request.uri().path());
+            let (breaks, mut hanging) = (mannered.breaks(), mannered.hanging.subscribe());
             async move {
                 let header =
                     |name: &str| request.headers().get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
                 let Some(correlation) = header("x-correlation-id") else {
                     return Some(reply(404, &[], ""));
                 };
+                let left = header("x-time-left").and_then(|t| t.parse().ok()).unwrap_or(0.0);
                 let (token, missed) = (header("idempotency-key"), lacks(request.uri().path()));
                 // It begins when the last byte has come; what breaks off before never runs.
                 request.into_body().collect().await.ok()?;
                 let now = Instant::now();
                 lock(&book).sent.push((now, correlation.clone()));
+                lock(&book).told_left.push((now, correlation.clone(), left));
+                if breaks {
+                    return None;
+                }
+                let _ = hanging.wait_for(|hangs| !hangs).await;
                 if fails {
                     lock(&book).ran.push((now, correlation));
                     return Some(reply(500, &[], ""));
@@ -127,6 +148,21 @@
         self.manner.failing.store(of_thousand, Relaxed);
     }
 
+    /// From now on so many of a thousand requests have their connection broken off once they were read, spread evenly.
+    pub fn breaking(&self, of_thousand: u64) {
+        self.manner.breaking.store(of_thousand, Relaxed);
+    }
+
+    /// From now on requests are read and not answered, or answered again, those that wait among them.
+    pub fn hanging(&self, hangs: bool) {
+        self.manner.hanging.send_replace(hangs);
+    }
+
+    /// The time left that each request was told, in seconds, with its id and the moment at which it came.
+    pub fn told_left(&self) -> Vec<(Instant, String, f64)> {
+        lock(&self.book).told_left.clone()
+    }
+
     /// How many requests have come.
     pub fn count(&self) -> usize {
         lock(&self.book).sent.len()
--- /dev/null
+++ b/tests/soak/troubles.rs
@@ -0,0 +1,209 @@
+//! What may go wrong, several at a time.
+
+use crate::judge::Drain;
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use rushquay_harness::{Faults, Fleet, StrictClients};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+/// Calls that fail at some of the processes while the switch is on.
+const INTERRUPTED: &str = "recv:EINTR=0.05;send:EINTR=0.05;recv:short=0.05;send:short=0.05;poll:EINTR=0.02";
+const SHORT_OF: &str =
+    "accept:ECONNABORTED=0.1;accept:EMFILE=0.05;connect:EADDRNOTAVAIL=0.05;connect:EINTR=0.05;\
+                        connect:ENETUNREACH=0.03;socket:ENFILE=0.03;send:ENOBUFS=0.02";
+const CLOCK: &str = "step=3600/3";
+/// Clients come to a process that was told to end for so long.
+const FRONT_NOTICES: Duration = Duration::from_millis(250);
+
+/// A process that was told to end has ended by then: the longest deadline, 0.7 s, and what a busy machine adds.
+const ENDS_WITHIN: Duration = Duration::from_secs(10);
+
+/// The file while which calls fail.
+fn switch() -> PathBuf {
+    std::env::temp_dir().join(format!("rushquay-soak-{}", std::process::id()))
+}
+
+/// Most processes get the library of faults, each with a part of them.
+pub fn preload(fleet: &mut Fleet, seed: u64) {
+    let rules = [INTERRUPTED, SHORT_OF, CLOCK];
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_rushquay"));
+    for (n, proxy) in fleet.proxies.iter_mut().enumerate().filter(|(n, _)| n % 4 != 3) {
+        let faults = Faults::new(seed + n as u64, rules[n % 4]).while_exists(&switch());
+        proxy.other = Some((program.clone(), faults.variables()));
+    }
+    for (n, control) in fleet.controls.iter_mut().enumerate() {
+        let faults = Faults::new(seed + 100 + n as u64, INTERRUPTED).while_exists(&switch());
+        control.other = Some((program.clone(), faults.variables()));
+    }
+}
+
+/// One trouble.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    /// A proxy is told to end, and started again.
+    Restart,
+    /// A proxy hands over to a new process of its own.
+    Upgrade,
+    /// A proxy stands still for a moment.
+    Pause,
+    /// A proxy is killed.
+    Kill,
+    /// A proxy reads its settings again, first while they are half written.
+    Reload,
+    /// A control service stands still or is killed.
+    Control,
+    /// Discovery is down.
+    Discovery,
+    /// A node drains.
+    Drain,
+    /// A node reads requests and answers none.
+    Hang,
+    /// A node breaks connections off.
+    Break,
+    /// Calls fail.
+    Calls,
+}
+
+const ALL: [Trouble; 13] = [
+    Trouble::Restart,
+    Trouble::Restart,
+    Trouble::Restart,
+    Trouble::Upgrade,
+    Trouble::Pause,
+    Trouble::Kill,
+    Trouble::Reload,
+    Trouble::Control,
+    Trouble::Discovery,
+    Trouble::Drain,
+    Trouble::Hang,
+    Trouble::Break,
+    Trouble::Calls,
+];
+
+/// What is in trouble now.
+pub struct Troubles<'a> {
+    clients: &'a [StrictClients],
+    down: Vec<usize>,
+    ending: Vec<usize>,
+    control: Option<usize>,
+    discovery: bool,
+    drains: Vec<Drain>,
+    hanging: Option<usize>,
+    breaking: Option<usize>,
+}
+
+impl<'a> Troubles<'a> {
+    pub fn new(clients: &'a [StrictClients]) -> Self {
+        let (down, ending, drains) = Default::default();
+        let (control, hanging, breaking) = (None, None, None);
+        Troubles { clients, down, ending, control, discovery: false, drains, hanging, breaking }
+    }
+
+    /// The drains that were told, with when.
+    pub fn drains(&mut self) -> Vec<Drain> {
+        std::mem::take(&mut self.drains)
+    }
+
+    fn whole(&self, proxy: usize) -> bool {
+        !self.down.contains(&proxy) && !self.ending.contains(&proxy)
+    }
+
+    /// Begins one that is drawn; nothing more where it is there already.
+    pub async fn begin(&mut self, fleet: &mut Fleet, random: &mut Pcg64Mcg) {
+        let trouble = ALL[random.random_range(0..ALL.len())];
+        let proxy = random.random_range(0..fleet.proxies.len());
+        let node = random.random_range(0..fleet.nodes.len() - 1);
+        fleet.history.note("soak", format!("{trouble:?} proxy {proxy} node {node}"));
+        match trouble {
+            Trouble::Restart if self.whole(proxy) => self.restart(fleet, proxy).await,
+            Trouble::Upgrade if self.whole(proxy) => fleet.upgrade_proxy(proxy),
+            Trouble::Pause if self.whole(proxy) => {
+                let process = fleet.proxies[proxy].process.as_mut().expect("it runs");
+                process.stop();
+                tokio::time::sleep(Duration::from_millis(random.random_range(20..400))).await;
+                process.wake();
+            }
+            Trouble::Kill if self.whole(proxy) => {
+                self.clients[proxy].killed();
+                fleet.proxies[proxy].process.as_mut().expect("it runs").kill();
+                self.down.push(proxy);
+            }
+            Trouble::Reload if self.whole(proxy) => reload(fleet, proxy).await,
+            Trouble::Control if self.control.is_none() => {
+                let n = random.random_range(0..fleet.controls.len());
+                let process = fleet.controls[n].process.as_mut().expect("it runs");
+                match random.random::<f64>() < 0.7 {
+                    true => process.stop(),
+                    false => process.kill(),
+                }
+                self.control = Some(n);
+            }
+            Trouble::Discovery if !self.discovery && self.drains.iter().all(|d| d.to.is_some()) => {
+                fleet.discovery.down(true);
+                self.discovery = true;
+            }
+            Trouble::Drain if !self.discovery => {
+                let id = fleet.nodes[node].1.id.clone();
+                if self.drains.iter().all(|d| d.node != id) {
+                    fleet.discovery.set(&id, "draining");
+                    self.drains.push(Drain { node: id, from: Instant::now(), to: None });
+                }
+            }
+            Trouble::Hang if self.hanging.is_none() => {
+                fleet.nodes[node].1.hanging(true);
+                self.hanging = Some(node);
+            }
+            Trouble::Break if self.breaking.is_none() => {
+                fleet.nodes[node].1.breaking(300);
+                self.breaking = Some(node);
+            }
+            Trouble::Calls => std::fs::write(switch(), "").expect("written"),
+            _ => {}
+        }
+    }
+
+    /// A proxy is told to end; its front goes on sending clients there for a moment.
+    async fn restart(&mut self, fleet: &mut Fleet, proxy: usize) {
+        fleet.proxies[proxy].process.as_mut().expect("it runs").end();
+        tokio::time::sleep(FRONT_NOTICES).await;
+        self.clients[proxy].open(false);
+        self.ending.push(proxy);
+    }
+
+    /// Mends what can be mended. Drains stay, so that the last request at each of those nodes can be told.
+    pub async fn mend(&mut self, fleet: &mut Fleet) {
+        let _ = std::fs::remove_file(switch());
+        for proxy in std::mem::take(&mut self.ending) {
+            let process = fleet.proxies[proxy].process.as_mut().expect("it runs");
+            let well = process.ends_within(ENDS_WITHIN).await;
+            assert!(well, "{} did not end well", fleet.proxies[proxy].name);
+            self.down.push(proxy);
+        }
+        for proxy in std::mem::take(&mut self.down) {
+            fleet.start_proxy(proxy);
+            self.clients[proxy].open(true);
+        }
+        if let Some(n) = self.control.take() {
+            match &mut fleet.controls[n].process {
+                Some(process) if process.is_stopped() => process.wake(),
+                _ => fleet.start_control(n),
+            }
+        }
+        if std::mem::take(&mut self.discovery) {
+            fleet.discovery.down(false);
+        }
+        self.hanging.take().into_iter().for_each(|n| fleet.nodes[n].1.hanging(false));
+        self.breaking.take().into_iter().for_each(|n| fleet.nodes[n].1.breaking(0));
+    }
+}
+
+/// The settings are written in two halves, with a signal behind each.
+async fn reload(fleet: &mut Fleet, proxy: usize) {
+    let path = fleet.config(proxy).to_owned();
+    let whole = std::fs::read_to_string(&path).expect("its settings");
+    std::fs::write(&path, &whole[..whole.len() / 2]).expect("written");
+    fleet.proxies[proxy].process.as_mut().expect("it runs").hang_up();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    std::fs::write(&path, whole).expect("written");
+}
