Go on with a copy of the store where a stopped process keeps its file locked

Cause: crates/state/src/shared.rs, open: each call holds the file's lock, the kernel keeps it for a process that stands still, and nobody else gets past Locked; tests/control/standby.rs had worked round it (stop_between_writes). Ruled out: the elector (it campaigns on time), the clock, a slow disk (2 s of turn are over). Change: Succession: a file that stays locked for 2 s is closed by a marker, copied, and followed by one of the next number; a write counts only if the marker is not there behind it. Tools open the newest file.

--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -435,7 +435,9 @@
         let runs = self.controls.iter_mut().any(|c| c.process.as_mut().is_some_and(Process::runs));
         assert!(!runs, "a control service runs");
         self.history.note("test", "the store is lost");
-        std::fs::remove_file(self.dir.join("shared.redb")).expect("removed");
+        let files = std::fs::read_dir(&self.dir).expect("the fleet's folder").flatten();
+        let of_store = |f: &std::fs::DirEntry| f.file_name().to_string_lossy().starts_with("shared.redb");
+        files.filter(of_store).for_each(|f| std::fs::remove_file(f.path()).expect("removed"));
     }
 
     /// Begins the load: so many clients on each proxy.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -5,9 +5,11 @@
 mod record;
 mod shared;
 mod store;
+mod succession;
 mod text;
 
 pub use record::{Kept, RecordError, FORM};
 pub use shared::{Campaign, Held, SharedError, SharedFile, SharedState};
 pub use store::{sealed, unsealed, BookChange, Change, RecordChange, Saved, StateError, StateStore};
+pub use succession::newest_file;
 pub use text::{dump, restore, Dumped};
--- a/crates/state/src/shared.rs
+++ b/crates/state/src/shared.rs
@@ -1,11 +1,12 @@
 //! State that several instances share, one of which writes at a time: a lease decides which.
 
 use crate::store::LeaseRecord;
+use crate::succession::Succession;
 use crate::{BookChange, Change, RecordChange, Saved, StateError, StateStore};
 use rushquay_overrides::{Book, Policy};
 use serde_json::Value;
 use std::collections::BTreeMap;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::{Duration, Instant};
 
 /// A lease that was won.
@@ -95,16 +96,19 @@
     fn keep_records(&self, held: Held, change: &RecordChange) -> Result<(), SharedError>;
 }
 
-/// Another instance holds the file for as long as one of its calls takes.
+/// Another instance holds the file for as long as one of its calls takes. One that holds it for longer stands still.
 const TURN: Duration = Duration::from_secs(2);
+/// So many files in a row may be left to instances that stand still, in one call.
+const SUCCESSORS_MOST: u32 = 3;
 const TURN_AGAIN: Duration = Duration::from_millis(2);
 /// The file is looked at so often for a lease that was given back.
 const LOOK: Duration = Duration::from_millis(50);
 
 /// Instances on one machine share a file. Each call holds it, alone, for as long as it takes: the file's lock is the
-/// kernel's, so that a process that dies leaves nothing locked.
+/// kernel's, so that a process that dies leaves nothing locked. What one that stands still keeps locked is left to it, and the others
+/// go on with a copy.
 pub struct SharedFile {
-    path: PathBuf,
+    files: Succession,
     clock: Box<dyn Fn() -> u64 + Send + Sync>,
     boot: String,
     ttl: std::sync::atomic::AtomicU64,
@@ -116,7 +120,13 @@
     /// nanoseconds; `boot` names the machine's present start: a lease from before it is over.
     pub fn new(path: &Path, boot: &str, clock: impl Fn() -> u64 + Send + Sync + 'static) -> Self {
         let ttl = std::sync::atomic::AtomicU64::new(0);
-        SharedFile { path: path.to_owned(), clock: Box::new(clock), boot: boot.to_owned(), ttl, first: 1 }
+        SharedFile {
+            files: Succession::of(path),
+            clock: Box::new(clock),
+            boot: boot.to_owned(),
+            ttl,
+            first: 1,
+        }
     }
 
     /// The first epoch of a file that knows of none. Danger: a file that was lost begins anew, and who has heard of a later epoch takes
@@ -127,17 +137,42 @@
         self
     }
 
-    fn open(&self) -> Result<StateStore, SharedError> {
-        let start = Instant::now();
+    /// The newest file, once no other instance holds it.
+    fn open(&self) -> Result<Opened<'_>, SharedError> {
+        for _ in 0..SUCCESSORS_MOST {
+            let number = self.files.newest();
+            if !self.files.is_closed(number) {
+                match self.open_within(number, TURN) {
+                    Ok(store) if !self.files.is_closed(number) => {
+                        return Ok(Opened { store, number, files: &self.files });
+                    }
+                    Ok(_) => {}
+                    Err(StateError::Locked(_)) => {
+                        self.files.close(number).map_err(|e| self.unreachable(&e))?
+                    }
+                    Err(e) => return Err(e.into()),
+                }
+            }
+            self.files.succeed(number).map_err(|e| self.unreachable(&e))?;
+        }
+        Err(self.unreachable(&"instances that stand still hold one file after another"))
+    }
+
+    /// A file, once no other instance holds it, within this time.
+    fn open_within(&self, number: u64, most: Duration) -> Result<StateStore, StateError> {
+        let (path, start) = (self.files.path(number), Instant::now());
         loop {
-            match StateStore::open(&self.path) {
-                Err(StateError::Locked(_)) if start.elapsed() < TURN => std::thread::sleep(TURN_AGAIN),
-                Err(e @ StateError::Locked(_)) => return Err(SharedError::Unreachable(e.to_string())),
-                other => return Ok(other?),
+            match StateStore::open(&path) {
+                Err(StateError::Locked(_)) if start.elapsed() < most => std::thread::sleep(TURN_AGAIN),
+                other => return other,
             }
         }
     }
 
+    fn unreachable(&self, why: &dyn std::fmt::Display) -> SharedError {
+        SharedError::Unreachable(format!("{}: {why}", self.files.base().display()))
+    }
+
     fn live(&self, record: &LeaseRecord) -> bool {
         record.boot == self.boot && (self.clock)() < record.until
     }
@@ -148,23 +183,50 @@
         held: Held,
         does: impl FnOnce(&StateStore, LeaseRecord) -> Result<T, StateError>,
     ) -> Result<T, SharedError> {
-        let store = self.open()?;
+        let opened = self.open()?;
+        let store = &opened.store;
         match store.lease()?.filter(|r| r.epoch == held.epoch && self.live(r)) {
-            Some(record) => Ok(does(&store, record)?),
+            Some(record) => {
+                let done = does(store, record)?;
+                opened.counts().map(|()| done)
+            }
             None => Err(SharedError::Fenced(held.epoch)),
         }
     }
 }
 
+/// A file that this instance holds.
+struct Opened<'a> {
+    store: StateStore,
+    number: u64,
+    files: &'a Succession,
+}
+
+impl Opened<'_> {
+    /// Whether what has been written counts. Danger: this instance may have stood still meanwhile, and the others have gone on
+    /// with a copy.
+    fn counts(&self) -> Result<(), SharedError> {
+        match self.files.is_closed(self.number) {
+            false => Ok(()),
+            true => {
+                let path = self.files.path(self.number);
+                let why = "it was left to this instance while it stood still";
+                Err(SharedError::Unreachable(format!("{}: {why}", path.display())))
+            }
+        }
+    }
+}
+
 impl SharedState for SharedFile {
     fn name(&self) -> String {
-        format!("file {}", self.path.display())
+        format!("file {}", self.files.base().display())
     }
 
     fn campaign(&self, me: &str, ttl: Duration) -> Result<Campaign, SharedError> {
         let ttl = ttl.as_nanos() as u64;
         self.ttl.store(ttl, std::sync::atomic::Ordering::Relaxed);
-        let store = self.open()?;
+        let opened = self.open()?;
+        let store = &opened.store;
         let before = store.lease()?;
         if let Some(other) = before.as_ref().filter(|r| self.live(r)) {
             return Ok(Campaign::Taken { by: other.holder.clone() });
@@ -172,6 +234,7 @@
         let epoch = before.map_or(self.first, |r| r.epoch + 1);
         let until = (self.clock)().saturating_add(ttl);
         store.set_lease(&LeaseRecord { holder: me.to_owned(), epoch, until, boot: self.boot.clone() })?;
+        opened.counts()?;
         Ok(Campaign::Won(Held { epoch, lease: 0 }))
     }
 
@@ -190,7 +253,7 @@
         let start = Instant::now();
         while start.elapsed() < most {
             std::thread::sleep(LOOK.min(most));
-            let lease = self.open().and_then(|store| Ok(store.lease()?));
+            let lease = self.open().and_then(|opened| Ok(opened.store.lease()?));
             if lease.is_ok_and(|r| r.is_none_or(|r| !self.live(&r))) {
                 return;
             }
@@ -198,8 +261,8 @@
     }
 
     fn load(&self, policy: Policy) -> Result<(Saved, Book), SharedError> {
-        let store = self.open()?;
-        Ok((store.read()?, store.read_book(policy)?))
+        let opened = self.open()?;
+        Ok((opened.store.read()?, opened.store.read_book(policy)?))
     }
 
     fn keep(&self, held: Held, change: &Change) -> Result<(), SharedError> {
@@ -211,7 +274,7 @@
     }
 
     fn load_records(&self) -> Result<BTreeMap<String, Value>, SharedError> {
-        Ok(self.open()?.read_records()?)
+        Ok(self.open()?.store.read_records()?)
     }
 
     fn keep_records(&self, held: Held, change: &RecordChange) -> Result<(), SharedError> {
--- a/crates/state/tests/shared.rs
+++ b/crates/state/tests/shared.rs
@@ -20,8 +20,9 @@
 impl Rig {
     fn new(name: &str) -> Rig {
         let path = std::env::temp_dir().join(format!("rushquay-shared-{name}-{}.redb", std::process::id()));
-        let _ = std::fs::remove_file(&path);
-        Rig { path, now: Arc::new(AtomicU64::new(1)) }
+        let rig = Rig { path, now: Arc::new(AtomicU64::new(1)) };
+        rig.remove();
+        rig
     }
 
     fn instance(&self, boot: &str) -> SharedFile {
@@ -34,9 +35,19 @@
     }
 }
 
+impl Rig {
+    /// Removes the file, and those that followed it.
+    fn remove(&self) {
+        let name = self.path.file_name().expect("a name").to_string_lossy().into_owned();
+        let entries = std::fs::read_dir(std::env::temp_dir()).into_iter().flatten().flatten();
+        let own = |e: &std::fs::DirEntry| e.file_name().to_string_lossy().starts_with(&name);
+        entries.filter(own).for_each(|e| drop(std::fs::remove_file(e.path())));
+    }
+}
+
 impl Drop for Rig {
     fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.path);
+        self.remove();
     }
 }
 
@@ -160,3 +171,36 @@
     assert_eq!(a.load_records().expect("loaded")["change"], json!(2));
     b.renew(new).expect("renewed");
 }
+
+/// Many go on from the same file at once: one copy counts, one leads, and whoever leads after it has a higher epoch.
+#[test]
+fn of_many_who_go_on_at_once_one_leads() {
+    let rig = Rig::new("many");
+    let first = rig.instance("boot");
+    let old = won(first.campaign("first", TTL));
+    first.keep(old, &version(41)).expect("kept");
+    let held = StateStore::open(&rig.path).expect("opened");
+    rig.pass(TTL + Duration::from_secs(1));
+    let names = ["a", "b", "c", "d", "e", "f"];
+    let outcomes: Vec<Campaign> = std::thread::scope(|scope| {
+        let instances: Vec<SharedFile> = names.iter().map(|_| rig.instance("boot")).collect();
+        let threads: Vec<_> = names
+            .iter()
+            .zip(instances)
+            .map(|(name, instance)| scope.spawn(move || instance.campaign(name, TTL).expect("an answer")))
+            .collect();
+        threads.into_iter().map(|t| t.join().expect("done")).collect()
+    });
+    let winners: Vec<Held> = outcomes
+        .iter()
+        .filter_map(|c| match c {
+            Campaign::Won(held) => Some(*held),
+            Campaign::Taken { .. } => None,
+        })
+        .collect();
+    assert_eq!(winners.len(), 1, "{outcomes:?}");
+    assert!(winners[0].epoch > old.epoch);
+    drop(held);
+    let next = rig.instance("boot");
+    assert_eq!(next.load(Policy::default()).expect("loaded").0.version, Some(41));
+}
--- a/src/cli/state.rs
+++ b/src/cli/state.rs
@@ -2,7 +2,7 @@
 
 use clap::Subcommand;
 use rushquay_overrides::{Book, Policy};
-use rushquay_state::{dump, restore, Saved, StateStore};
+use rushquay_state::{dump, newest_file, restore, Saved, StateStore};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -50,7 +50,7 @@
         StateCommand::Restore { file, dump } => {
             let text = std::fs::read_to_string(&dump).map_err(|e| format!("{}: {e}", dump.display()))?;
             let dumped = restore(&text).map_err(|e| format!("{}: {e}", dump.display()))?;
-            let store = StateStore::open(&file).map_err(|e| e.to_string())?;
+            let store = StateStore::open(&newest_file(&file)).map_err(|e| e.to_string())?;
             store.replace(&dumped).map_err(|e| e.to_string())?;
             let (nodes, book, records) = (dumped.nodes.set.len(), &dumped.book, dumped.records.len());
             let (overrides, events) = (book.live.len(), book.events.len());
@@ -70,5 +70,5 @@
     // All events that there are, whatever a service's settings say.
     let policy = Policy { history: usize::MAX, ..Policy::default() };
     let read = |s: StateStore| Ok((s.read()?, s.read_book(policy)?, s.read_records()?));
-    StateStore::open(file).and_then(read).map_err(|e| e.to_string())
+    StateStore::open(&newest_file(file)).and_then(read).map_err(|e| e.to_string())
 }
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -26,14 +26,25 @@
 impl File {
     fn new(name: &str) -> Self {
         let path = std::env::temp_dir().join(format!("rushquay-{name}-{}.redb", std::process::id()));
-        let _ = std::fs::remove_file(&path);
-        File(path)
+        let file = File(path);
+        file.remove();
+        file
+    }
+}
+
+impl File {
+    /// Removes it, and the files that followed it.
+    fn remove(&self) {
+        let name = self.0.file_name().expect("a name").to_string_lossy().into_owned();
+        let entries = std::fs::read_dir(std::env::temp_dir()).into_iter().flatten().flatten();
+        let own = |e: &std::fs::DirEntry| e.file_name().to_string_lossy().starts_with(&name);
+        entries.filter(own).for_each(|e| drop(std::fs::remove_file(e.path())));
     }
 }
 
 impl Drop for File {
     fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.0);
+        self.remove();
     }
 }
 
--- a/tests/control/standby.rs
+++ b/tests/control/standby.rs
@@ -131,6 +131,24 @@
         }
     }
 
+    /// Stops it in the middle of a call: it holds the file until it goes on.
+    fn stop_in_a_write(&self, file: &Path) {
+        let start = Instant::now();
+        loop {
+            self.running.signal("-STOP");
+            let locked = || {
+                std::thread::sleep(Duration::from_millis(2));
+                matches!(rushquay_state::StateStore::open(file), Err(rushquay_state::StateError::Locked(_)))
+            };
+            // Nobody else has it open.
+            if (0..5).all(|_| locked()) {
+                return;
+            }
+            self.running.signal("-CONT");
+            assert!(start.elapsed() < LONG, "it is never met in a call");
+        }
+    }
+
     async fn leads(&self) -> u64 {
         until("the program leads", || self.standby().0).await;
         self.standby().1
@@ -214,6 +232,38 @@
     assert_eq!(served_by(&proxy, 150).await.into_keys().collect::<Vec<_>>(), ["a", "b"]);
 }
 
+/// A leader that is stopped in the middle of a call keeps the file locked for as long as it stands still: another leads all the same,
+/// with all that was kept, and what the stopped one was doing comes to nothing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leader_that_is_stopped_in_the_middle_of_a_call_is_followed() {
+    let file = File::new("leader-stopped");
+    let fleet = nodes(&["a", "b", "c"]).await;
+    let discovery = Discovery::start(41, &ready(&fleet)).await;
+    let first = program("first", discovery.addr, &file.0);
+    let epoch = first.leads().await;
+    let (well, text) =
+        say_to(first.running.admin, "set --node c --out --for 1h --reason boiler --force").await;
+    assert!(well && !text.contains("memory"), "{text}");
+    first.stop_in_a_write(&file.0);
+    let second = instance("second", discovery.addr, &Place::File(&file.0)).await;
+    let next = leads(&second).await;
+    assert!(next > epoch, "{next} after {epoch}");
+    let (_, text) = say_to(second.admin.expect("admin"), "list").await;
+    assert!(text.contains("node c"), "{text}");
+    let (well, text) =
+        say_to(second.admin.expect("admin"), "set --node b --out --for 1h --reason pump --force").await;
+    assert!(well && !text.contains("memory"), "{text}");
+    first.running.signal("-CONT");
+    until("the old leader has stepped down", || first.standby() == (false, 0)).await;
+    let (well, text) = say_to(first.running.admin, "set --node a --out --for 1h --reason old --force").await;
+    assert!(!well && text.contains("stands by"), "{text}");
+    // It follows in its turn, with what the second has kept.
+    second.stop().await;
+    assert!(first.leads().await > next);
+    let (_, text) = say_to(first.running.admin, "list").await;
+    assert!(text.contains("node b") && text.contains("node c"), "{text}");
+}
+
 /// While what is shared can't be reached a leader leads on until its lease is over, and no longer.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_leader_that_is_cut_off_from_etcd_stops_in_time_and_comes_back() {
