--- /dev/null
+++ b/tests/calls.rs
@@ -0,0 +1,130 @@
+//! System calls of the proxy that fail in the ways that Linux documents: no request is lost by them.
+
+mod rig;
+use rig::*;
+use rushquay_harness::Faults;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::time::Duration;
+
+const SEED: u64 = 39;
+/// Reads and writes that are interrupted or move a byte, and waits that are interrupted.
+const INTERRUPTIONS: &str = "recv:EINTR=0.1;send:EINTR=0.1;recv:short=0.2;send:short=0.2;poll:EINTR=0.05";
+
+/// Starts a stand-in that answers all that comes to it with 200 and the request's id.
+fn answering() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let addr = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            std::thread::spawn(move || {
+                let mut peer = Peer::new(stream);
+                while let Some(request) = peer.read() {
+                    let id = request.header("x-correlation-id").unwrap_or("nobody").to_owned();
+                    peer.reply("200 OK", "X-Lookup: hit\r\n", &id);
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// A proxy whose calls fail, between clients and one node that answers at once.
+struct Faulty {
+    proxy: Proxy,
+    operators: SocketAddr,
+    /// Faults are injected while this file exists.
+    switch: PathBuf,
+}
+
+impl Faulty {
+    /// Faults are injected once it serves.
+    fn start(name: &str, rules: &str) -> Self {
+        println!("seed {SEED}");
+        let switch = std::env::temp_dir().join(format!("rushquay-faults-{name}-{}", std::process::id()));
+        let faults = Faults::new(SEED, rules).while_exists(&switch);
+        let discovery = Server::new();
+        let servers = [
+            member("c1", answering(), "std", "ready"),
+            member("c2", answering(), "std", "ready"),
+            member("o1", answering(), "origin", "ready"),
+        ];
+        let mut told = config(discovery.addr, &servers);
+        told["admin_addr"] = json!("127.0.0.1:0");
+        let variables = faults.variables();
+        let variables: Vec<(&str, &str)> = variables.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
+        let mut proxy = Proxy::with(&told, &variables);
+        let operators = proxy.yes();
+        let faulty = Faulty { proxy, operators, switch };
+        faulty.turn(true);
+        faulty
+    }
+
+    fn turn(&self, on: bool) {
+        match on {
+            true => std::fs::write(&self.switch, "").expect("written"),
+            false => std::fs::remove_file(&self.switch).expect("removed"),
+        }
+        // The library looks at the file every few milliseconds.
+        std::thread::sleep(Duration::from_millis(20));
+    }
+
+    /// One figure of METRICS.
+    fn figure(&self, name: &str) -> u64 {
+        let mut peer = Peer::to(self.operators);
+        peer.write("METRICS\n");
+        let mut text = String::new();
+        peer.0.read_to_string(&mut text).expect("an answer");
+        let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' '));
+        line.and_then(|v| v.parse().ok()).unwrap_or_else(|| panic!("no {name} in {text:?}"))
+    }
+}
+
+impl Drop for Faulty {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.switch);
+    }
+}
+
+/// Danger: a call that a signal interrupts, or that moves a part, would end the connection under a request.
+#[test]
+fn interrupted_and_short_reads_and_writes_lose_no_request() {
+    let faulty = Faulty::start("interrupted", INTERRUPTIONS);
+    for connection in 0..40 {
+        let mut client = faulty.proxy.client();
+        for n in 0..10 {
+            let id = format!("i{connection}-{n}");
+            let write = n % 3 == 0;
+            match write {
+                true => client.write(&format!(
+                    "PUT /set/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: {id}\r\n\
+                     Idempotency-Key: {id}\r\nContent-Length: 4\r\n\r\n21.5"
+                )),
+                false => client.write(&get_as(&id, "read", "")),
+            }
+            let answer = client.answer();
+            assert_eq!((answer.status(), String::from_utf8_lossy(&answer.body).as_ref()), (200, id.as_str()));
+        }
+    }
+    // What operators ask is answered too.
+    assert_eq!(faulty.figure("proxy_completed{lane=\"read\"}"), 240);
+}
+
+/// Danger: the interim answer that asks whether a client is still there would be cut short, and what follows it be no answer.
+#[test]
+fn a_client_that_has_ended_its_sending_reads_whole_answers() {
+    let faulty = Faulty::start("interim", "send:short=0.7;send:EINTR=0.2");
+    for n in 0..20 {
+        let mut stream = TcpStream::connect(faulty.proxy.addr).expect("connected");
+        stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        stream.write_all(get_as(&format!("half-{n}"), "read", "").as_bytes()).expect("written");
+        stream.shutdown(Shutdown::Write).expect("ended");
+        let mut text = String::new();
+        stream.read_to_string(&mut text).expect("read");
+        let last = text.replace("HTTP/1.1 100 Continue\r\n\r\n", "");
+        assert!(last.starts_with("HTTP/1.1 200 OK\r\n"), "{text:?}");
+        assert!(last.ends_with(&format!("half-{n}")), "{text:?}");
+    }
+}
