--- a/crates/control-service/src/discovery.rs
+++ b/crates/control-service/src/discovery.rs
@@ -8,10 +8,10 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use rushquay_nodes::{Answer, Cursor, Members};
+use rushquay_sockets::{connect, RetryStream};
 use rushquay_xds::client::Backoff;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -43,9 +43,10 @@
     told: &mpsc::Sender<Told>,
     backoff: &mut Backoff,
 ) -> Result<std::convert::Infallible, String> {
-    let stream = timeout(CONNECT, TcpStream::connect(addr)).await.map_err(|_| "no connection in time")?;
-    let stream = stream.map_err(|e| format!("no connection: {e}"))?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    let stream = timeout(CONNECT, connect(addr)).await.map_err(|_| "no connection in time")?;
+    let stream = stream.map_err(|e| format!("no connection: {}", e.source()))?;
+    let io = TokioIo::new(RetryStream::new(stream));
+    let (mut sender, connection) = http1::handshake(io).await.map_err(|e| e.to_string())?;
     let driver = tokio::spawn(connection);
     let mut cursor = Cursor::default();
     let done = loop {
--- a/crates/sockets/src/accept.rs
+++ b/crates/sockets/src/accept.rs
@@ -2,8 +2,10 @@
 
 use crate::{classify, ErrorClass};
 use socket2::SockRef;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
+use std::task::{ready, Context, Poll};
 use tokio::net::{TcpListener, TcpStream};
 
 /// So many errors in a row concern single connections; more are the listener's own.
@@ -29,11 +31,19 @@
 /// # Errors
 /// A shortage, or the listener's own fault.
 pub async fn accept(listener: &TcpListener) -> io::Result<(TcpStream, SocketAddr)> {
+    poll_fn(|cx| poll_accept(listener, cx)).await
+}
+
+/// The same for whoever polls.
+pub fn poll_accept(
+    listener: &TcpListener,
+    cx: &mut Context<'_>,
+) -> Poll<io::Result<(TcpStream, SocketAddr)>> {
     let mut passed = 0;
     loop {
-        match listener.accept().await {
+        match ready!(listener.poll_accept(cx)) {
             Err(e) if passes(&e) && passed < PASSED_OVER_MOST => passed += 1,
-            other => return other,
+            other => return Poll::Ready(other),
         }
     }
 }
--- a/crates/sockets/src/class.rs
+++ b/crates/sockets/src/class.rs
@@ -1,5 +1,6 @@
 //! Errors of socket calls by what has to be done about them.
 
+use rustix::io::Errno;
 use std::io;
 
 /// What an error of a socket call says.
@@ -17,7 +18,10 @@
     Other,
 }
 
-/// The class of an error. So far all are alike.
-pub fn classify(_: &io::Error) -> ErrorClass {
-    ErrorClass::Other
+/// The class of an error. So far a call that was interrupted is told from all else.
+pub fn classify(error: &io::Error) -> ErrorClass {
+    match Errno::from_io_error(error) {
+        Some(Errno::INTR) => ErrorClass::Repeat,
+        _ => ErrorClass::Other,
+    }
 }
--- a/crates/sockets/src/connect.rs
+++ b/crates/sockets/src/connect.rs
@@ -26,6 +26,14 @@
     }
 }
 
+impl From<ConnectError> for io::Error {
+    fn from(error: ConnectError) -> Self {
+        match error {
+            ConnectError::Shortage(e) | ConnectError::Unreached(e) => e,
+        }
+    }
+}
+
 /// Connects.
 ///
 /// # Errors
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -8,7 +8,7 @@
 mod connect;
 mod stream;
 
-pub use accept::{accept, accept_queued, Queued};
+pub use accept::{accept, accept_queued, poll_accept, Queued};
 pub use class::{classify, ErrorClass};
 pub use connect::{connect, ConnectError};
 pub use stream::{ReadyStream, RetryStream};
--- a/crates/xds-grpc/src/client.rs
+++ b/crates/xds-grpc/src/client.rs
@@ -1,6 +1,7 @@
 //! The subscriber's sockets: one stream after another, as a [`Session`] says.
 
 use crate::server::{STANDS_BY, TIME};
+use crate::transport::Dial;
 use crate::{convert, Tls};
 use envoy_types::pb::envoy::config::core::v3::Node;
 use envoy_types::pb::envoy::service::discovery::v3::aggregated_discovery_service_client::AggregatedDiscoveryServiceClient;
@@ -97,14 +98,13 @@
     let mut endpoint = Endpoint::from_shared(format!("{scheme}://{addr}"))
         .map_err(fault)?
         .connect_timeout(CONNECT)
-        .tcp_nodelay(true)
         .http2_keep_alive_interval(KEEPALIVE)
         .keep_alive_timeout(KEEPALIVE_WITHIN)
         .keep_alive_while_idle(true);
     if let Some((tls, name)) = &options.tls {
         endpoint = endpoint.tls_config(tls.client(Some(name))).map_err(fault)?;
     }
-    endpoint.connect().await.map_err(fault)
+    endpoint.connect_with_connector(Dial(addr)).await.map_err(fault)
 }
 
 async fn stream<S: Session>(
--- a/crates/xds-grpc/src/server.rs
+++ b/crates/xds-grpc/src/server.rs
@@ -1,6 +1,7 @@
 //! The gRPC services: ADS, CDS and EDS, each state-of-the-world and delta.
 
 use crate::hub::{Hub, Place};
+use crate::transport::Incoming;
 use crate::{convert, Tls};
 use envoy_types::pb::envoy::config::core::v3::Node;
 use envoy_types::pb::envoy::service::cluster::v3::cluster_discovery_service_server::{
@@ -26,7 +27,6 @@
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::metadata::MetadataValue;
-use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status, Streaming};
 
 /// A peer that has said nothing for so long is asked whether it is there; a machine that vanished answers never.
@@ -325,7 +325,7 @@
     let ads = AggregatedDiscoveryServiceServer::new(service.clone()).max_decoding_message_size(message);
     let cds = ClusterDiscoveryServiceServer::new(service.clone()).max_decoding_message_size(message);
     let eds = EndpointDiscoveryServiceServer::new(service).max_decoding_message_size(message);
-    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let incoming = Incoming::new(listener);
     builder
         .add_service(ads.max_encoding_message_size(usize::MAX))
         .add_service(cds.max_encoding_message_size(usize::MAX))
--- a/examples/defective.rs
+++ b/examples/defective.rs
@@ -3,8 +3,8 @@
 
 use rushquay::net::config::Config;
 use rushquay::net::server;
+use rushquay::net::signals::SignalFlag;
 use std::time::Duration;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::time::sleep;
 
 /// What stands before the words.
@@ -29,11 +29,9 @@
     }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let hangup = signal(SignalKind::hangup()).expect("a signal");
-        let mut terminate = signal(SignalKind::terminate()).expect("a signal");
-        let stop = async move {
-            terminate.recv().await;
-        };
+        let hangup = SignalFlag::hang_up().expect("a signal");
+        let ending = SignalFlag::ending().expect("a signal");
+        let stop = async move { ending.raised().await };
         let mut config = Config::from_env().expect("a configuration");
         // One class of requests, or one data centre's proxies alone.
         if word(0) == "fails" && (word(2).is_empty() || config.name.ends_with(word(2))) {
--- a/examples/skewed.rs
+++ b/examples/skewed.rs
@@ -5,10 +5,10 @@
 
 use rushquay::net::config::Config;
 use rushquay::net::server;
+use rushquay::net::signals::SignalFlag;
 use rushquay_control_service::{read_settings, start_by, steady, Clocks, Options, SourceOption};
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
-use tokio::signal::unix::{signal, SignalKind};
 
 fn told(name: &str) -> i64 {
     std::env::var(name).map_or(0, |v| v.parse().expect("a whole number"))
@@ -41,11 +41,9 @@
     }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let hangup = signal(SignalKind::hangup()).expect("a signal");
-        let mut terminate = signal(SignalKind::terminate()).expect("a signal");
-        let stop = async move {
-            terminate.recv().await;
-        };
+        let hangup = SignalFlag::hang_up().expect("a signal");
+        let ending = SignalFlag::ending().expect("a signal");
+        let stop = async move { ending.raised().await };
         let mut config = Config::from_env().expect("a configuration");
         config.clocks = clocks(clock);
         server::run(config, stop, hangup, |_| {}).await.expect("it serves");
@@ -67,10 +65,10 @@
     };
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     runtime.expect("a runtime").block_on(async {
-        let mut terminate = signal(SignalKind::terminate()).expect("a signal");
+        let ending = SignalFlag::ending().expect("a signal");
         let service = start_by(options, clocks(clock)).await.expect("a control service");
         println!("listening xds={} admin={}", service.xds, service.admin.expect("an admin address"));
-        terminate.recv().await;
+        ending.raised().await;
         service.stop().await;
     });
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -11,11 +11,11 @@
 
 use clap::{Parser, Subcommand};
 use rushquay::net;
+use rushquay::net::signals::SignalFlag;
 use rushquay_control_service::{read_settings, start, Options, Settings, SourceOption};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use tokio::signal::unix::{signal, Signal, SignalKind};
 
 /// A proxy for a fleet of cache nodes, and the control service that hands such proxies their nodes.
 #[derive(Parser)]
@@ -112,6 +112,7 @@
 /// Does what the command line says.
 pub fn run() -> Result<(), String> {
     match Cli::parse().command {
+        Command::Override(args) => threads()?.block_on(overrides::run(args)),
         Command::Proxy { control, envoy } => proxy(control, envoy),
         Command::Control { command: Some(ControlCommand::State { command }), .. } => state::run(command),
         Command::Control {
@@ -140,7 +141,6 @@
             };
             control(Options { listen, source, admin, settings: settings.clone(), state })
         }
-        Command::Override(args) => threads()?.block_on(overrides::run(args)),
         Command::Rollout(args) => threads()?.block_on(rollout::run(args)),
         Command::Policy(args) => threads()?.block_on(policy::run(args)),
         Command::Host(args) => host::run(args),
@@ -162,18 +162,8 @@
 
 /// SIGTERM or SIGINT.
 fn ending() -> Result<impl Future<Output = ()>, String> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
-    Ok(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-    })
-}
-
-fn hangup() -> Result<Signal, String> {
-    signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))
+    let ending = SignalFlag::ending()?;
+    Ok(async move { ending.raised().await })
 }
 
 /// One proxy, on one thread. It rereads its file on SIGHUP and ends on SIGTERM or SIGINT.
@@ -182,7 +172,7 @@
     let runtime = runtime.map_err(|e| format!("the runtime: {e}"))?;
     let run = async {
         // Danger: until it is handled this signal ends the process.
-        let hangup = hangup()?;
+        let hangup = SignalFlag::hang_up()?;
         let envoy = envoy.map(|path| (net::config::ENVOY, path.display().to_string()));
         let mut config = net::config::Config::from_env_and(envoy.as_slice())?;
         if let Some(path) = control {
@@ -203,7 +193,7 @@
 /// The control service, on a few threads.
 fn control(options: Options) -> Result<(), String> {
     threads()?.block_on(async {
-        let mut hangup = hangup()?;
+        let hangup = SignalFlag::hang_up()?;
         let mut ending = std::pin::pin!(ending()?);
         let service = start(options).await.map_err(|e| e.to_string())?;
         let admin = service.admin.map_or_else(|| "none".to_owned(), |a| a.to_string());
@@ -211,7 +201,7 @@
         loop {
             tokio::select! {
                 () = ending.as_mut() => break,
-                Some(()) = hangup.recv() => service.reread(),
+                () = hangup.raised() => service.reread(),
             }
         }
         service.stop().await;
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -2,6 +2,7 @@
 
 use super::log;
 use rushquay_handover::{Claimant, Heard, Holder, Known, Offer, Peer, Reply, Share, Step, ToNew, ToOld};
+use rushquay_sockets::RetryStream;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -35,7 +36,7 @@
 }
 
 /// A connection to the old process.
-pub struct Link(UnixStream);
+pub struct Link(RetryStream<UnixStream>);
 
 impl Link {
     /// Tells it that this process serves, and returns once it knows, or has ended, or has let its time pass.
@@ -107,11 +108,12 @@
     place: &Path,
     listen: SocketAddr,
     hello: &ToOld,
-) -> io::Result<(Heard, Option<(TcpListener, UnixStream)>)> {
-    let mut stream = UnixStream::connect(place).await?;
+) -> io::Result<(Heard, Option<(TcpListener, RetryStream<UnixStream>)>)> {
+    let mut stream = RetryStream::new(meet_there(place).await?);
     stream.write_all(&hello.bytes()).await?;
     let mut head = [0; 4];
-    let fd = stream.async_io(Interest::READABLE, || receive(&stream, &mut head)).await?;
+    let socket = stream.get_ref();
+    let fd = socket.async_io(Interest::READABLE, || again(|| receive(socket, &mut head))).await?;
     let spoilt = |e| io::Error::new(io::ErrorKind::InvalidData, e);
     let mut body = vec![0; ToNew::length(head).map_err(spoilt)?];
     stream.read_exact(&mut body).await?;
@@ -145,6 +147,26 @@
     }
 }
 
+/// Makes a call again that a signal interrupts.
+fn again<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    loop {
+        match call() {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            other => return other,
+        }
+    }
+}
+
+/// A connection to whoever waits at the meeting place.
+async fn meet_there(place: &Path) -> io::Result<UnixStream> {
+    loop {
+        match UnixStream::connect(place).await {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            other => return other,
+        }
+    }
+}
+
 /// Writes four bytes and a descriptor.
 fn send(stream: &UnixStream, head: &[u8; 4], fd: &impl AsFd) -> io::Result<()> {
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
@@ -289,7 +311,8 @@
         }
     }
 
-    async fn serve(&self, peer: Peer, mut stream: UnixStream) -> io::Result<()> {
+    async fn serve(&self, peer: Peer, stream: UnixStream) -> io::Result<()> {
+        let mut stream = RetryStream::new(stream);
         // Danger: one that connects and says nothing would hold a place for good.
         let mut next = timeout(ANSWER_WITHIN, hear(&mut stream)).await.map_err(io::Error::from)??;
         loop {
@@ -309,7 +332,9 @@
                     log("a new process comes up beside this one");
                     let bytes = said.bytes();
                     let (head, body) = bytes.split_first_chunk::<4>().ok_or(io::ErrorKind::InvalidData)?;
-                    stream.async_io(Interest::WRITABLE, || send(&stream, head, &listener)).await?;
+                    let socket = stream.get_ref();
+                    let sending = || again(|| send(socket, head, &listener));
+                    socket.async_io(Interest::WRITABLE, sending).await?;
                     stream.write_all(body).await?;
                 }
             }
@@ -319,7 +344,7 @@
 }
 
 /// The next thing that a new process says; `None`: it has ended.
-async fn hear(stream: &mut UnixStream) -> io::Result<Option<ToOld>> {
+async fn hear(stream: &mut RetryStream<UnixStream>) -> io::Result<Option<ToOld>> {
     let mut head = [0; 4];
     match stream.read_exact(&mut head).await {
         Err(e) if matches!(e.kind(), io::ErrorKind::UnexpectedEof | io::ErrorKind::ConnectionReset) => {
--- a/src/net/local.rs
+++ b/src/net/local.rs
@@ -2,10 +2,10 @@
 
 use super::config::Config;
 use super::server;
+use super::signals::SignalFlag;
 use rushquay_control_service::Clocks;
 use std::net::SocketAddr;
 use std::thread::JoinHandle;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::oneshot;
 
 /// A running proxy. Dropping it drains it and waits until it has ended.
@@ -38,7 +38,7 @@
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|e| e.to_string())?;
             let run = async {
-                let hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
+                let hangup = SignalFlag::hang_up()?;
                 // Stopped on purpose or forgotten: both end it.
                 let stop = async { drop(stopped.await) };
                 let told = |addr| {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -40,6 +40,7 @@
 mod routed;
 pub mod server;
 mod settings;
+pub mod signals;
 mod socket;
 pub mod subscription;
 mod tally;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -19,6 +19,7 @@
 use super::policy::{Handed, Policy};
 use super::pools::Pools;
 use super::rollout::Rollout;
+use super::signals::SignalFlag;
 use super::trace::{self, Event};
 use super::upstream::Upstreams;
 use super::{BODY_MOST, BUFFER_MOST};
@@ -37,7 +38,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, Notify};
 use tokio::time::{sleep, timeout, Instant};
 
@@ -99,7 +99,7 @@
 pub async fn run(
     config: Config,
     stop: impl Future<Output = ()>,
-    hangup: Signal,
+    hangup: SignalFlag,
     told: impl FnOnce(SocketAddr),
 ) -> Result<(), String> {
     let mut stop = std::pin::pin!(stop);
@@ -315,7 +315,7 @@
     config: Config,
     descriptors: Rc<Descriptors>,
     ledger: Arc<Ledger>,
-    mut hangup: Signal,
+    hangup: SignalFlag,
     handed: Option<Handed>,
 ) -> Result<Begun, String> {
     let discovery = config.discovery.ok_or("discovery is missing, and PROXY_DISCOVERY is not set")?;
@@ -344,7 +344,8 @@
         tokio::task::spawn_local(subscription.follow(nodes.clone(), parts));
     }
     tokio::task::spawn_local(async move {
-        while hangup.recv().await.is_some() {
+        loop {
+            hangup.raised().await;
             match reread().await {
                 // The receiver is gone only when the proxy ends.
                 Ok(config) => drop(config.discovery.map(|discovery| moves.send(discovery))),
