--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -128,3 +128,43 @@
         assert!(last.ends_with(&format!("half-{n}")), "{text:?}");
     }
 }
+
+/// Danger: one accept that fails would be taken for the end of the queue, and the close would reset those behind it.
+#[test]
+fn each_of_those_who_wait_at_the_door_of_a_process_that_ends_is_answered() {
+    let mut faulty = Faulty::start("door", "accept:ECONNABORTED=0.3;accept:EINTR=0.2;accept:EPROTO=0.1");
+    faulty.proxy.signal("-TERM");
+    faulty.proxy.logged("draining");
+    faulty.proxy.halt();
+    // Longer than connections are accepted: they are met by the closing of the door.
+    std::thread::sleep(Duration::from_millis(700));
+    let mut clients: Vec<Peer> = (0..30).map(|_| faulty.proxy.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.write(&get_as(&format!("door-{n}"), "read", ""));
+    }
+    faulty.proxy.signal("-CONT");
+    for (n, client) in clients.iter_mut().enumerate() {
+        let answer = client.read().unwrap_or_else(|| panic!("client {n} got no answer"));
+        assert_eq!(answer.status(), 200, "client {n}");
+    }
+    assert_eq!(faulty.proxy.child.wait().expect("ended").code(), Some(0));
+}
+
+/// Danger: a machine that has run out of ports or buffers would have all its nodes counted as failed.
+#[test]
+fn a_shortage_of_this_machine_says_nothing_of_the_nodes() {
+    let rules = ["connect:EADDRNOTAVAIL=1", "connect:ENOBUFS=1", "socket:EMFILE=1", "socket:ENFILE=1"];
+    for (number, rule) in rules.into_iter().enumerate() {
+        let faulty = Faulty::start(&format!("shortage-{number}"), rule);
+        for n in 0..60 {
+            let mut client = faulty.proxy.client();
+            client.write(&get_as(&format!("short-{n}"), "read", ""));
+            assert!(client.answer().status() >= 200);
+        }
+        assert_eq!(faulty.figure("proxy_members_unavailable"), 0, "{rule}");
+        faulty.turn(false);
+        let mut client = faulty.proxy.client();
+        client.write(&get_as("after", "read", ""));
+        assert_eq!(client.answer().status(), 200, "{rule}");
+    }
+}
