Tell a machine's own shortage, lost peers and lost routes apart in one place

Cause: Upstreams::connect called every error of connect the node's; accept answered each error alike.

--- a/crates/sockets/src/class.rs
+++ b/crates/sockets/src/class.rs
@@ -18,10 +18,32 @@
     Other,
 }
 
-/// The class of an error. So far a call that was interrupted is told from all else.
+/// The class of an error.
 pub fn classify(error: &io::Error) -> ErrorClass {
     match Errno::from_io_error(error) {
         Some(Errno::INTR) => ErrorClass::Repeat,
+        Some(
+            Errno::CONNABORTED
+            | Errno::CONNRESET
+            | Errno::CONNREFUSED
+            | Errno::PIPE
+            | Errno::TIMEDOUT
+            | Errno::PROTO
+            | Errno::NOTCONN
+            | Errno::SHUTDOWN,
+        ) => ErrorClass::PeerGone,
+        Some(
+            Errno::MFILE
+            | Errno::NFILE
+            | Errno::NOBUFS
+            | Errno::NOMEM
+            | Errno::NOSPC
+            | Errno::ADDRNOTAVAIL
+            | Errno::AGAIN,
+        ) => ErrorClass::Shortage,
+        Some(Errno::NETDOWN | Errno::NETUNREACH | Errno::HOSTUNREACH | Errno::HOSTDOWN | Errno::NONET) => {
+            ErrorClass::NoRoute
+        }
         _ => ErrorClass::Other,
     }
 }
