--- a/tests/control/program.rs
+++ b/tests/control/program.rs
@@ -64,9 +64,19 @@
 
 impl Running {
     pub fn new(args: &[&str]) -> Self {
+        Self::with(args, &[])
+    }
+
+    /// The same, with these variables.
+    pub fn with(args: &[&str], variables: &[(String, String)]) -> Self {
         let mut command = rushquay(&["control", "--listen", "127.0.0.1:0", "--admin", "127.0.0.1:0"]);
-        let mut child =
-            command.args(args).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().expect("started");
+        let mut child = command
+            .args(args)
+            .envs(variables.iter().cloned())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("started");
         let mut line = String::new();
         BufReader::new(child.stdout.take().expect("output")).read_line(&mut line).expect("a line");
         let mut parts = line.trim().split(' ');
