Open a store anew after it failed, and keep what is owed without anybody's doing

Cause: crates/control-service/src/keeper.rs held one store for good, which refuses every call after an error of the disk; a book that could not be kept waited for the next change; one EIO at the start meant memory for good. Change: Reopening closes a store that failed and opens it with the next call; the keeper then reads what the disk holds before it writes the difference; a book that is not kept is written whole every second until it is; a start waits 5 s for its disk; override set ends with status 3 where it is not kept, /status tells unkept_overrides.

--- a/crates/control-service/src/admin.rs
+++ b/crates/control-service/src/admin.rs
@@ -11,6 +11,7 @@
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
+use rushquay_sockets::{accept, RetryStream};
 use rushquay_xds::server::Variant;
 use serde_json::{json, Value};
 use std::sync::{Arc, PoisonError};
@@ -49,7 +50,7 @@
     let places = Arc::new(Semaphore::new(connections));
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, _)) = accept(&listener).await else {
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
@@ -58,7 +59,7 @@
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_WITHIN)
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(TokioIo::new(RetryStream::new(stream)), service);
             let _ = tokio::time::timeout(CONNECTION_MOST, connection).await;
             drop(place);
         });
@@ -129,7 +130,8 @@
     };
     let state = shared.keeper().map(|keeper| {
         let state = keeper.state();
-        json!({"path": keeper.path, "fault": state.fault, "version": state.version, "writes": state.writes})
+        json!({"path": keeper.path, "fault": state.fault, "version": state.version, "writes": state.writes,
+               "unkept_overrides": shared.unkept()})
     });
     let standby = shared.standby.as_ref().map(|standby| {
         let state = standby.state();
--- a/crates/control-service/src/keeper.rs
+++ b/crates/control-service/src/keeper.rs
@@ -1,8 +1,11 @@
 //! Keeps what the service knows in a file, on a thread of its own: a disk that is slow or full holds nobody up.
 
+use crate::reopening::Reopening;
 use rushquay_nodes::Stated;
 use rushquay_overrides::{Book, Policy};
-use rushquay_state::{BookChange, Change, Held, RecordChange, Saved, SharedError, SharedState, StateStore};
+use rushquay_state::{
+    BookChange, Change, Held, RecordChange, Saved, SharedError, SharedState, StateError, StateStore,
+};
 use rushquay_xds::client::Outage;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -15,6 +18,10 @@
 /// A write that failed is tried again after this.
 const AGAIN: Duration = Duration::from_secs(1);
 
+/// A file that can't be opened for a failure of the disk is opened again after this, so often at most.
+const OPEN_AGAIN: Duration = Duration::from_millis(250);
+const OPENS_MOST: u32 = 20;
+
 /// Records of other parts, by name.
 pub type Records = BTreeMap<String, Value>;
 
@@ -40,21 +47,11 @@
     /// # Errors
     /// The store can't be read.
     fn read_records(&self) -> Result<Records, SharedError>;
-}
-
-impl Durable for StateStore {
-    fn keep(&self, change: &Change) -> Result<(), SharedError> {
-        Ok(StateStore::keep(self, change)?)
-    }
-    fn keep_book(&self, change: &BookChange) -> Result<(), SharedError> {
-        Ok(StateStore::keep_book(self, change)?)
-    }
-    fn keep_records(&self, change: &RecordChange) -> Result<(), SharedError> {
-        Ok(StateStore::keep_records(self, change)?)
-    }
-    fn read_records(&self) -> Result<Records, SharedError> {
-        Ok(StateStore::read_records(self)?)
-    }
+    /// Reads node knowledge.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    fn saved(&self) -> Result<Saved, SharedError>;
 }
 
 /// What instances share, for as long as a lease is held.
@@ -76,6 +73,9 @@
     fn read_records(&self) -> Result<Records, SharedError> {
         self.store.load_records()
     }
+    fn saved(&self) -> Result<Saved, SharedError> {
+        Ok(self.store.load(Policy::default())?.0)
+    }
 }
 
 /// Why something is not kept.
@@ -136,12 +136,9 @@
     /// memory, and the file stays as it is.
     pub fn open(path: &Path, policy: Policy) -> (Keeper, Saved, Book, Records) {
         let shared = Arc::new(Shared::default());
-        let opened = StateStore::open(path).and_then(|store| {
-            let (saved, book, records) = (store.read()?, store.read_book(policy)?, store.read_records()?);
-            Ok((Arc::new(store), saved, book, records))
-        });
-        match opened {
+        match open_patiently(path, policy) {
             Ok((store, saved, book, records)) => {
+                let store = Arc::new(Reopening::new(path, store));
                 let keeper = Keeper { path: Some(path.to_owned()), ..Keeper::on(store, saved.clone()) };
                 (keeper, saved, book, records)
             }
@@ -231,9 +228,30 @@
     }
 }
 
+/// Opens a store and reads what it holds, again and again for a while where the disk fails.
+fn open_patiently(path: &Path, policy: Policy) -> Result<(StateStore, Saved, Book, Records), StateError> {
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let opened = StateStore::open(path).and_then(|store| {
+            let (saved, book, records) = (store.read()?, store.read_book(policy)?, store.read_records()?);
+            Ok((store, saved, book, records))
+        });
+        match opened {
+            Err(e @ (StateError::Io(..) | StateError::Full(_))) if tries < OPENS_MOST => {
+                warn!(file = %path.display(), fault = %e, "state can't be opened yet");
+                std::thread::sleep(OPEN_AGAIN);
+            }
+            other => return other,
+        }
+    }
+}
+
 /// Writes what has changed against what is known to be kept, until the end.
 fn keep(store: &dyn Durable, shared: &Shared, mut known: BTreeMap<String, Stated>, mut version: Option<u64>) {
     let mut outage = Outage::default();
+    // A write failed: it is not known what of it is kept.
+    let mut doubtful = false;
     loop {
         let (next, ending) = {
             let mut slot = shared.lock();
@@ -243,9 +261,18 @@
             (slot.next.take(), slot.ending)
         };
         let Some((now, nodes)) = next else { return };
-        let change = difference(&known, version, now, &nodes);
-        match change.as_ref().map_or(Ok(()), |change| store.keep(change)) {
-            Ok(()) => {
+        let read = if doubtful { store.saved().map(Some) } else { Ok(None) };
+        let kept = read.and_then(|saved| {
+            if let Some(saved) = saved {
+                version = saved.version;
+                known = saved.nodes.into_iter().map(|s| (s.member.id.clone(), s)).collect();
+            }
+            let change = difference(&known, version, now, &nodes);
+            change.as_ref().map_or(Ok(()), |change| store.keep(change)).map(|()| change.is_some())
+        });
+        doubtful = kept.is_err();
+        match kept {
+            Ok(written) => {
                 known = nodes.into_iter().map(|s| (s.member.id.clone(), s)).collect();
                 version = Some(now);
                 if let Some(n) = outage.over() {
@@ -253,7 +280,7 @@
                 }
                 let state = &mut shared.lock().state;
                 (state.fault, state.version) = (None, version);
-                state.writes += u64::from(change.is_some());
+                state.writes += u64::from(written);
             }
             Err(e) => {
                 failed(&e, &mut outage);
--- a/crates/control-service/src/lib.rs
+++ b/crates/control-service/src/lib.rs
@@ -10,6 +10,7 @@
 mod metrics;
 mod policy;
 mod policy_api;
+mod reopening;
 mod report;
 mod rollout;
 mod rollout_api;
--- a/crates/control-service/src/shared.rs
+++ b/crates/control-service/src/shared.rs
@@ -16,7 +16,7 @@
 use rushquay_state::{BookChange, RecordChange, Saved};
 use rushquay_xds::Store;
 use rushquay_xds_grpc::Hub;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tracing::{info, warn};
@@ -93,6 +93,8 @@
     keeper: Mutex<Option<Arc<Keeper>>>,
     /// The number of the last event of the book that was kept. Locked before `book`.
     kept_events: Mutex<u64>,
+    /// The book was to be kept and is not.
+    unkept: AtomicBool,
     /// Since when what was kept waits for the source.
     since: Mutex<Instant>,
 }
@@ -131,6 +133,7 @@
             origin,
             keeper: Mutex::default(),
             kept_events: Mutex::default(),
+            unkept: AtomicBool::new(false),
             since: Mutex::new(Instant::now()),
             rollout,
             policies,
@@ -162,6 +165,11 @@
         lock(&self.control).nodes()
     }
 
+    /// Whether overrides are held in memory that were to be kept.
+    pub(crate) fn unkept(&self) -> bool {
+        self.unkept.load(Ordering::SeqCst)
+    }
+
     pub(crate) fn keeper(&self) -> Option<Arc<Keeper>> {
         lock(&self.keeper).clone()
     }
@@ -384,10 +392,17 @@
         match keeper.keep_book(&change) {
             Ok(()) => {
                 *kept = last;
+                if self.unkept.swap(false, Ordering::SeqCst) {
+                    info!(overrides = change.live.len(), "overrides are kept again");
+                }
                 Ok(())
             }
             Err(e) => {
-                warn!(fault = %e.why, "overrides are held in memory");
+                // The disk may have lost more than this write: all of the book is written next time.
+                *kept = 0;
+                if !self.unkept.swap(true, Ordering::SeqCst) {
+                    warn!(fault = %e.why, "overrides are held in memory");
+                }
                 Err(e)
             }
         }
@@ -437,7 +452,9 @@
         }
         if !expired.is_empty() {
             self.impose();
-            // Retried with the next change where the disk refuses.
+        }
+        // What could not be kept is owed until it is.
+        if !expired.is_empty() || self.unkept.load(Ordering::SeqCst) {
             self.book_kept(self.keep_book());
         }
     }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -109,10 +109,37 @@
     },
 }
 
+/// Why a command ends otherwise than well.
+pub struct Failure {
+    /// For people.
+    pub text: String,
+    /// The exit status.
+    pub status: u8,
+}
+
+/// What was asked for could not be done.
+const FAILED: u8 = 1;
+/// It was done, and is held in memory alone for now.
+pub const NOT_KEPT: u8 = 3;
+
+impl From<String> for Failure {
+    fn from(text: String) -> Self {
+        Failure { text, status: FAILED }
+    }
+}
+
 /// Does what the command line says.
-pub fn run() -> Result<(), String> {
+pub fn run() -> Result<(), Failure> {
     match Cli::parse().command {
         Command::Override(args) => threads()?.block_on(overrides::run(args)),
+        other => run_other(other).map_err(Failure::from),
+    }
+}
+
+fn run_other(command: Command) -> Result<(), String> {
+    match command {
+        // Its failures have statuses of their own.
+        Command::Override(_) => Ok(()),
         Command::Proxy { control, envoy } => proxy(control, envoy),
         Command::Control { command: Some(ControlCommand::State { command }), .. } => state::run(command),
         Command::Control {
--- a/src/cli/overrides.rs
+++ b/src/cli/overrides.rs
@@ -1,5 +1,6 @@
 //! `rushquay override`: operators' overrides, over the control service's admin address.
 
+use super::{Failure, NOT_KEPT};
 use clap::{Args, Subcommand};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Bytes;
@@ -145,7 +146,7 @@
 }
 
 /// Does what the command says.
-pub async fn run(args: OverrideArgs) -> Result<(), String> {
+pub async fn run(args: OverrideArgs) -> Result<(), Failure> {
     let admin = args.admin;
     let (answer, table): (Value, fn(&Value) -> String) = match args.command {
         OverrideCommand::List => (call(admin, Method::GET, "/v1/overrides", None, None).await?.1, live_table),
@@ -193,7 +194,18 @@
         true => println!("{answer:#}"),
         false => print!("{}", table(&answer)),
     }
-    Ok(())
+    kept(&answer)
+}
+
+/// Whether what was done is kept, where the control service keeps anything.
+fn kept(answer: &Value) -> Result<(), Failure> {
+    match answer["why"].as_str().filter(|why| !why.starts_with("no --state")) {
+        None => Ok(()),
+        Some(why) => {
+            let text = format!("it holds, in memory alone until it can be kept: {why}");
+            Err(Failure { text, status: NOT_KEPT })
+        }
+    }
 }
 
 /// Calls the admin address; returns the answer's tag with it.
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,14 +8,14 @@
 fn main() -> ExitCode {
     let done = match std::env::args_os().len() {
         // As deployed: the environment says all.
-        0 | 1 => cli::proxy(None, None),
+        0 | 1 => cli::proxy(None, None).map_err(cli::Failure::from),
         _ => cli::run(),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            rushquay::net::log(e);
-            ExitCode::FAILURE
+        Err(failure) => {
+            rushquay::net::log(failure.text);
+            ExitCode::from(failure.status)
         }
     }
 }
