Take nodes' starts by discovery's clock where the wall clock was stepped at the start

Cause: src/net/clock.rs reads the wall clock once; a process that starts while it is an hour ahead takes each node that starts later for an hour old, and sends a cold node its whole share for as long as it lives; an hour behind, it spares all for an hour. Change: Starts (crates/nodes) puts what is told on this process's clock, by the date of discovery's answers, or by two starts that can't be right and agree; one alone is taken for a start at this moment.

--- a/crates/nodes/src/lib.rs
+++ b/crates/nodes/src/lib.rs
@@ -12,6 +12,7 @@
 mod merge;
 mod pins;
 mod roll;
+mod starts;
 
 pub use check::{check_list, ListFault};
 pub use cursor::{Answer, Cursor};
@@ -21,6 +22,7 @@
 pub use merge::{Changes, Merge, MergeLimits, News, Source, Stated, View};
 pub use pins::{Pin, Pins};
 pub use roll::Roll;
+pub use starts::Starts;
 
 /// A point in time or a span, in nanoseconds.
 pub type Nanos = u64;
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -27,6 +27,8 @@
 /// takes two seconds.
 const HEAD_WITHIN: Duration = Duration::from_secs(4);
 const HEAD_SILENT: Duration = Duration::from_millis(2500);
+/// The same while the process drains, which waits for it.
+const HEAD_SILENT_DRAINING: Duration = Duration::from_millis(1200);
 
 /// A client's connection, as others see it.
 pub struct Client {
@@ -142,9 +144,11 @@
         if self.busy.get() {
             return;
         }
+        let draining = self.cause.get() == Some(CloseCause::Drain);
+        let silent = if draining { HEAD_SILENT_DRAINING } else { HEAD_SILENT };
         let stopped = match self.intake.head_since.get() {
             // Who writes slowly is told from who has stopped by what has come lately.
-            Some(since) => over(since, HEAD_WITHIN) || over(since.max(moved), HEAD_SILENT),
+            Some(since) => over(since, HEAD_WITHIN) || over(since.max(moved), silent),
             None => self.intake.heads.get() == 0 && over(self.came, ASK_WITHIN),
         };
         if stopped {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -7,7 +7,7 @@
 use super::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::HOST;
+use hyper::header::{DATE, HOST};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use rushquay_nodes::{Answer, Cursor, Failure, Follow, Manner, Members, Step};
@@ -26,6 +26,19 @@
 /// A list is at most this long; a thousand entries take a fifth of it.
 const LIST_MOST: usize = 1 << 20;
 
+/// What a call brought.
+struct ListAnswer {
+    members: Members,
+    /// When it was made, in Unix time by discovery's clock; `None`: it does not say.
+    date: Option<u64>,
+}
+
+/// A date of HTTP as Unix time in nanoseconds.
+fn unix(date: &str) -> Option<u64> {
+    let date = jiff::fmt::rfc2822::DateTimeParser::new().parse_timestamp(date).ok()?;
+    u64::try_from(date.as_nanosecond()).ok()
+}
+
 /// Why a call brought no list.
 struct Failed {
     how: Failure,
@@ -94,14 +107,16 @@
                 called = self.call(step) => called,
             };
             match called {
-                Ok(members) => self.took(&members, &nodes),
+                Ok(answer) => self.took(answer, &nodes),
                 Err(failed) => self.failed(&failed, &nodes),
             }
         }
     }
 
-    fn took(&mut self, members: &Members, nodes: &NodeList) {
-        if self.cursor.saw(members) == Answer::Doubted {
+    fn took(&mut self, answer: ListAnswer, nodes: &NodeList) {
+        let ListAnswer { members, date } = answer;
+        date.into_iter().for_each(|date| nodes.dated(date));
+        if self.cursor.saw(&members) == Answer::Doubted {
             account::count(Kind::ListBroken, 1);
             super::log(format_args!(
                 "discovery at {}: a list of version {} with {} entries is no sequel to the one held, which stays; the \
@@ -139,13 +154,13 @@
         self.follow.moved();
     }
 
-    async fn call(&mut self, step: Step) -> Result<Members, Failed> {
+    async fn call(&mut self, step: Step) -> Result<ListAnswer, Failed> {
         tokio::time::sleep(Duration::from_nanos(step.wait)).await;
         let called = tokio::time::timeout(Duration::from_nanos(step.limit), self.exchange(step.hold)).await;
         called.unwrap_or_else(|_| Err(Failed::silent("no answer in time")))
     }
 
-    async fn exchange(&mut self, hold: u64) -> Result<Members, Failed> {
+    async fn exchange(&mut self, hold: u64) -> Result<ListAnswer, Failed> {
         let kept = match self.sender.take() {
             // A kept connection that has ended says nothing of discovery.
             Some(mut sender) => sender.ready().await.is_ok().then_some(sender),
@@ -166,10 +181,14 @@
         if head.status != StatusCode::OK {
             return Err(Failed::refused(format_args!("answered {}", head.status.as_u16())));
         }
-        serde_json::from_slice(&body.to_bytes()).map_err(|e| {
-            self.cursor.spoilt();
-            Failed::refused(format_args!("not a list: {e}"))
-        })
+        let date = head.headers.get(DATE).and_then(|date| unix(date.to_str().ok()?));
+        match serde_json::from_slice(&body.to_bytes()) {
+            Ok(members) => Ok(ListAnswer { members, date }),
+            Err(e) => {
+                self.cursor.spoilt();
+                Err(Failed::refused(format_args!("not a list: {e}")))
+            }
+        }
     }
 
     async fn connect(&self) -> Result<SendRequest<Body>, Failed> {
--- a/src/net/nodes.rs
+++ b/src/net/nodes.rs
@@ -5,7 +5,7 @@
 use rushquay_control_service::steady;
 use rushquay_lease::{Nanos, Skew, SECOND};
 use rushquay_nodes::{
-    Changes, Member, Members, Merge, MergeLimits, News, NodeState, Pin, Pins, Roll, Source,
+    Changes, Member, Members, Merge, MergeLimits, News, NodeState, Pin, Pins, Roll, Source, Starts,
 };
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -20,6 +20,8 @@
     pins: RefCell<Vec<(Pin, ServerId)>>,
     /// Discovery's list, for a process that takes over.
     roll: RefCell<Roll>,
+    /// When nodes started, on this process's clock.
+    starts: RefCell<Starts>,
     /// Unix time at the start, and the machine's steady clock then.
     start: (Nanos, Nanos),
 }
@@ -39,7 +41,8 @@
         let mut roll = Roll::default();
         known.iter().for_each(|known| roll.take(known));
         let (skew, pins, roll) = (Cell::default(), RefCell::default(), RefCell::new(roll));
-        Rc::new(NodeList { engine, merge, skew, pins, roll, start })
+        let starts = RefCell::default();
+        Rc::new(NodeList { engine, merge, skew, pins, roll, starts, start })
     }
 
     /// Unix time by this machine, which never jumps.
@@ -72,8 +75,11 @@
     }
 
     /// Discovery has told the whole list, or what changed.
-    pub fn discovered(&self, list: &Members) {
-        self.roll.borrow_mut().take(list);
+    pub fn discovered(&self, list: Members) {
+        self.roll.borrow_mut().take(&list);
+        let mut list = list;
+        self.starts.borrow_mut().take(&mut list.servers, self.engine.now());
+        let list = &list;
         let Some(merge) = &self.merge else {
             let kind = if list.full { ListKind::Full } else { ListKind::Delta };
             return self.engine.list(kind, &list.servers);
@@ -89,6 +95,17 @@
         }
     }
 
+    /// Discovery's answer was made at this Unix time, by its own clock.
+    pub fn dated(&self, date: Nanos) {
+        let mut starts = self.starts.borrow_mut();
+        if starts.dated(date, self.engine.now()) {
+            super::log(format_args!(
+                "this machine's wall clock was {:+.0} s from discovery's at the start; nodes' starts go by discovery's",
+                starts.ahead() as f64 / SECOND as f64
+            ));
+        }
+    }
+
     /// Discovery can't be reached; its list stands.
     pub fn failed(&self) {
         if let Some(merge) = &self.merge {
