--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -3,6 +3,7 @@
 mod catching_up;
 mod failing_disk;
 mod fleet;
+mod interrupted;
 mod link;
 mod overrides;
 mod peers;
--- a/tests/pipelined.rs
+++ b/tests/pipelined.rs
@@ -117,3 +117,62 @@
     assert_eq!(client.answer().body, b"whole");
     assert_eq!(r.proxy.child.wait().expect("ended").code(), Some(0));
 }
+
+/// A node that answers every second request and hangs with the others.
+fn half_hanging() -> std::net::SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bound");
+    let addr = listener.local_addr().expect("an address");
+    let turn = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let turn = turn.clone();
+            std::thread::spawn(move || {
+                let mut node = Peer::new(stream);
+                while node.read().is_some() {
+                    if turn.fetch_add(1, std::sync::atomic::Ordering::Relaxed) % 2 == 1 {
+                        node.reply("200 OK", "X-Lookup: hit\r\n", "");
+                    }
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Danger: half of the attempts hang, many clients have sent several requests at once, and the table of connections has little room:
+/// what stands behind a hung request would be dropped with the process.
+#[test]
+fn many_clients_with_requests_behind_hung_ones_are_all_answered_at_a_stop() {
+    const CLIENTS: usize = 30;
+    const REQUESTS: usize = 5;
+    for sockets in [102, 1024] {
+        let discovery = Server::new();
+        let servers =
+            [member("c1", half_hanging(), "std", "ready"), member("c2", half_hanging(), "std", "ready")];
+        let mut told = config(discovery.addr, &servers);
+        told["limits"]["sockets"] = json!(sockets);
+        for class in told["settings"]["categories"].as_array_mut().expect("classes") {
+            class["deadline_ns"] = json!(1_000_000_000u64);
+        }
+        let mut proxy = Proxy::new(&told);
+        let mut clients: Vec<Peer> = (0..CLIENTS).map(|_| proxy.client()).collect();
+        for (n, client) in clients.iter_mut().enumerate() {
+            let class = if n % 2 == 0 { "order" } else { "read" };
+            let ask = |r| get_as(&format!("many-{n}-{r}"), class, "X-Time-Left: 1.000\r\n");
+            // In two pieces, so that the second is still to be read when the first is in work.
+            let first: String = (0..2).map(ask).collect();
+            let rest: String = (2..REQUESTS).map(ask).collect();
+            client.write(&first);
+            client.write(&rest);
+        }
+        std::thread::sleep(Duration::from_millis(150));
+        proxy.signal("-TERM");
+        for (n, client) in clients.iter_mut().enumerate() {
+            for r in 0..REQUESTS {
+                let answer = client.read();
+                assert!(answer.is_some(), "{sockets} sockets: client {n} has no answer to request {r}");
+            }
+        }
+        assert_eq!(proxy.child.wait().expect("ended").code(), Some(0));
+    }
+}
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -442,3 +442,33 @@
     let (ToNew::Offer { cold, .. }, _) = place.hello() else { panic!("no offer") };
     assert!(cold[0].left < 0.2, "{cold:?}");
 }
+
+/// Danger: an old process that ends would take connections from the door that the new one has, and close those that say nothing yet.
+#[test]
+fn an_old_process_leaves_what_waits_at_a_shared_door_to_the_new_one() {
+    let (place, cache) = (Place::new(), Server::new());
+    let servers = [member("c1", cache.addr, "std", "ready")];
+    let mut old = place.start(&servers);
+    old.yes();
+    let mut first = old.client();
+    first.ask("order", "");
+    let mut node = cache.take();
+    node.request();
+    let mut new = place.start(&servers);
+    new.yes();
+    old.logged("a new process serves");
+    new.halt();
+    old.signal("-TERM");
+    old.logged("draining");
+    // It waits at the door while the old process has a request to answer, and asks nothing yet.
+    let mut waiting = new.client();
+    node.reply("200 OK", "X-Lookup: hit\r\n", "");
+    assert_eq!(first.answer().status(), 200);
+    assert_eq!(old.child.wait().expect("ended").code(), Some(0));
+    new.signal("-CONT");
+    waiting.ask("order", "");
+    let mut node = cache.take();
+    node.request();
+    node.reply("200 OK", "X-Lookup: hit\r\n", "");
+    assert_eq!(waiting.answer().status(), 200);
+}
