Wait out a shortage at the start; test reasons, the trace, and a body that stops

Cause: src/net/listening.rs and admin.rs ended the process where socket or bind met ENFILE at the start.

--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -6,9 +6,11 @@
 mod accept;
 mod class;
 mod connect;
+mod start;
 mod stream;
 
 pub use accept::{accept, accept_queued, poll_accept, Queued};
 pub use class::{classify, ErrorClass};
 pub use connect::{connect, ConnectError};
+pub use start::patiently;
 pub use stream::{ReadyStream, RetryStream};
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -1,7 +1,7 @@
 //! Answers operators on a thread of its own: one line to a connection. It reads the ledger and nothing else of the proxy.
 
 use rushquay_operate::{figures, Call, Ledger, Line, Places, Standing, Ticket, LINE_MOST};
-use rushquay_sockets::{accept as accept_one, RetryStream};
+use rushquay_sockets::{accept as accept_one, patiently, RetryStream};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -41,7 +41,7 @@
     /// An address that can't be listened on, or a thread that can't be had, in words that name the setting.
     pub fn start(addr: SocketAddr, ledger: Arc<Ledger>) -> Result<Self, String> {
         let failed = |e: std::io::Error| format!("PROXY_ADMIN_ADDR (admin_addr): {addr}: {e}");
-        let listener = std::net::TcpListener::bind(addr).map_err(failed)?;
+        let listener = patiently(|| std::net::TcpListener::bind(addr)).map_err(failed)?;
         listener.set_nonblocking(true).map_err(failed)?;
         let addr = listener.local_addr().map_err(failed)?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_io().enable_time().build();
--- a/src/net/listening.rs
+++ b/src/net/listening.rs
@@ -1,5 +1,6 @@
 //! The address where clients connect: taken alone, or shared with a process that can't be asked for it.
 
+use rushquay_sockets::patiently;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
 use std::net::SocketAddr;
@@ -23,7 +24,7 @@
 /// An address that can't be listened on.
 pub fn bind(addr: SocketAddr) -> Result<Place, String> {
     let failed = |e: io::Error| format!("PROXY_LISTEN: {addr}: {e}");
-    let socket = socket(addr).map_err(failed)?;
+    let socket = patiently(|| socket(addr)).map_err(failed)?;
     // Shared from the start it could not tell whether anybody else is there.
     match socket.bind(&addr.into()) {
         Ok(()) => {
@@ -33,7 +34,7 @@
             listen(socket).map(Place::Alone).map_err(failed)
         }
         Err(e) if e.kind() == io::ErrorKind::AddrInUse => {
-            let shared = self::socket(addr).map_err(failed)?;
+            let shared = patiently(|| self::socket(addr)).map_err(failed)?;
             let bound = shared.set_reuse_port(true).and_then(|()| shared.bind(&addr.into()));
             bound.map_err(|e| {
                 format!("PROXY_LISTEN: {addr}: {e}; what listens there shares it with nobody: end it first")
@@ -57,6 +58,6 @@
 /// # Errors
 /// Where the system refuses it.
 pub fn listen(socket: Socket) -> io::Result<TcpListener> {
-    socket.listen(BACKLOG)?;
+    patiently(|| socket.listen(BACKLOG))?;
     TcpListener::from_std(socket.into())
 }
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -375,3 +375,17 @@
     client.0.read_to_end(&mut got).expect("the end");
     assert_eq!(digest(&got), digest(&whole));
 }
+
+/// Bad clients are owed their error or close within three seconds.
+#[test]
+fn a_client_that_stops_in_a_body_has_its_answer_within_three_seconds() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    let head = get("set", "Idempotency-Key: stops\r\nContent-Length: 100\r\n").replace("GET", "PUT");
+    client.write(&head);
+    let stopped = std::time::Instant::now();
+    client.write("a part");
+    assert_eq!(client.answer().status(), 408);
+    assert!(stopped.elapsed() < Duration::from_secs(3), "{:?}", stopped.elapsed());
+    assert!(r.cache.none_came() && r.origin.none_came());
+}
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -168,3 +168,26 @@
         assert_eq!(client.answer().status(), 200, "{rule}");
     }
 }
+
+/// Danger: a process that is started while the machine is short of descriptors would end, and its front have nobody.
+#[test]
+fn a_process_that_starts_during_a_shortage_waits_it_out() {
+    println!("seed {SEED}");
+    let switch = std::env::temp_dir().join(format!("rushquay-faults-start-{}", std::process::id()));
+    std::fs::write(&switch, "").expect("written");
+    let faults = Faults::new(SEED, "socket:ENFILE=1").while_exists(&switch);
+    let discovery = Server::new();
+    let mut told = config(discovery.addr, &[member("c1", answering(), "std", "ready")]);
+    told["admin_addr"] = json!("127.0.0.1:0");
+    let passes = switch.clone();
+    let passing = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(600));
+        std::fs::remove_file(passes).expect("removed");
+    });
+    let variables = faults.variables();
+    let variables: Vec<(&str, &str)> = variables.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
+    let mut proxy = Proxy::with(&told, &variables);
+    passing.join().expect("done");
+    proxy.yes();
+    assert_eq!(proxy.health(), 200);
+}
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -182,3 +182,54 @@
         std::fs::remove_file(file).expect("removed");
     }
 }
+
+/// Every retry, refusal and close has its reason, and no rule is broken by an ordinary day.
+#[test]
+fn retries_refusals_and_closes_are_counted_by_cause() {
+    let (r, admin) = watched(256);
+    let mut client = r.proxy.client();
+    client.ask("read", "");
+    let mut node = r.cache.take();
+    node.request();
+    node.reply("404 Not Found", "X-Lookup: miss\r\n", "");
+    let mut origin = r.origin.take();
+    origin.request();
+    origin.reply("200 OK", "", "value");
+    assert_eq!(client.answer().status(), 200);
+    until(admin, "proxy_retries{after=\"miss\"} ", 1);
+    client.ask("order", "");
+    node.request();
+    drop(node);
+    assert_eq!(client.answer().status(), 502);
+    until(admin, "proxy_failures{after=\"reset\"} ", 1);
+    until(admin, "proxy_node_closes{cause=\"failed\"} ", 1);
+    drop(client);
+    until(admin, "proxy_client_closes_total ", 1);
+    assert_eq!(figure(admin, "proxy_client_closes{cause=\"peer_ended\"} "), 1);
+    assert_eq!(figure(admin, "proxy_violations_total "), 0);
+}
+
+/// A request can be followed through by its id.
+#[test]
+fn a_trace_tells_what_became_of_a_request_by_its_id() {
+    let (cache, discovery) = (Server::new(), Server::new());
+    let told = config(discovery.addr, &[member("c1", cache.addr, "std", "ready")]);
+    let mut proxy = Proxy::with(&told, &[("PROXY_TRACE", "1")]);
+    let mut client = proxy.client();
+    client.write(&get_as("followed", "read", ""));
+    let mut node = cache.take();
+    node.request();
+    node.reply("200 OK", "X-Lookup: hit\r\n", "");
+    assert_eq!(client.answer().status(), 200);
+    for part in [
+        "read request=followed connection=1 class=read",
+        "attempt request=followed number=0",
+        "ended request=followed number=0",
+        "answered request=followed status=200",
+    ] {
+        proxy.line_with(part);
+    }
+    proxy.signal("-TERM");
+    proxy.line_with("state draining");
+    proxy.line_with("closed connection=1 cause=");
+}
