--- a/crates/harness/src/strict.rs
+++ b/crates/harness/src/strict.rs
@@ -160,8 +160,8 @@
         (seen.answered, seen.served)
     }
 
-    /// What was broken and is not excused by a kill.
-    pub fn broken(&self) -> Vec<Broken> {
+    /// What was broken and is not excused by a kill, with when.
+    pub fn broken(&self) -> Vec<(Instant, Broken)> {
         let (seen, door) = (lock(&self.seen), lock(&self.door));
         let excused = |id: &str, at: Instant| {
             let from = seen.asked.get(id).map_or(at, |a| a.at.min(at));
@@ -171,7 +171,7 @@
         };
         let of = |(at, broken): &(Instant, Broken)| {
             let (Broken::Unanswered { id, .. } | Broken::Late { id, .. } | Broken::Wrong { id, .. }) = broken;
-            (!excused(id, *at)).then(|| broken.clone())
+            (!excused(id, *at)).then(|| (*at, broken.clone()))
         };
         seen.broken.iter().filter_map(of).collect()
     }
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -191,3 +191,16 @@
     proxy.yes();
     assert_eq!(proxy.health(), 200);
 }
+
+/// Danger: to take in one more client, one that has just come would be sent away before it has asked.
+#[test]
+fn a_shortage_at_the_door_sends_nobody_away_who_has_just_come() {
+    let faulty = Faulty::start("just-come", "accept:EMFILE=0.4;accept:ENFILE=0.2");
+    let mut clients: Vec<Peer> = (0..20).map(|_| faulty.proxy.client()).collect();
+    std::thread::sleep(Duration::from_millis(300));
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.write(&get_as(&format!("just-come-{n}"), "read", ""));
+        let answer = client.read().unwrap_or_else(|| panic!("client {n} got no answer"));
+        assert_eq!(answer.status(), 200, "client {n}");
+    }
+}
--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -46,7 +46,12 @@
     for line in fleet.history.with("rule broken") {
         found.push(line.to_string());
     }
-    found.extend(clients.iter().flat_map(StrictClients::broken).map(|b| format!("{b:?}")));
+    for (proxy, client) in fleet.proxies.iter().zip(clients) {
+        for (at, broken) in client.broken() {
+            let at = at.saturating_duration_since(fleet.history.begin());
+            found.push(format!("{:.3} {broken:?}\n{}", at.as_secs_f64(), around(fleet, &proxy.name, at)));
+        }
+    }
     found.extend(at_nodes(fleet, &asked));
     found.extend(books(fleet, &asked, drains).into_iter().map(|b| b.to_string()));
     let (answered, served) =
@@ -56,6 +61,15 @@
     assert!(served * 2 > answered, "seed {seed}: {served} of {answered} served");
 }
 
+/// What was noted of a proxy and of troubles round a moment.
+fn around(fleet: &Fleet, proxy: &str, at: Duration) -> String {
+    let near = |l: &&rushquay_harness::Line| {
+        l.at + Duration::from_secs(3) > at && l.at < at + Duration::from_millis(500)
+    };
+    let of = |l: &&rushquay_harness::Line| l.who == proxy || l.who == "soak" || l.who == "test";
+    fleet.history.lines().iter().filter(near).filter(of).map(|l| format!("    {l}\n")).collect()
+}
+
 /// What nodes got against what clients did.
 fn at_nodes(fleet: &Fleet, asked: &BTreeMap<String, Asked>) -> Vec<String> {
     let mut found = Vec::new();
