Spare clients that have just come where accept lacks a descriptor

Cause: src/net/accepting.rs, lacks: with no idle connection to a node it asked for a place (Want::Place), for which a connection that had just come was sent away as the last resort, to let in another newcomer.

--- a/src/net/accepting.rs
+++ b/src/net/accepting.rs
@@ -47,13 +47,14 @@
         }
     }
 
-    /// The system has no descriptor or memory for a connection. Danger: accept fails at once, and again, and again.
+    /// The system has no descriptor or memory for a connection. Danger: accept fails at once, and again, and again; and who is sent
+    /// away for a newcomer must be of no use: one that has just come, or still writes, is a newcomer too.
     async fn lacks(&self, why: &io::Error) {
         if let Some(n) = self.shortage.borrow_mut().failed(&why.to_string()) {
             super::log(format_args!("accept: {why} (failure {n})"));
         }
         if !self.front.yield_idle() {
-            self.make_place();
+            self.yield_client(Want::Slack);
         }
         sleep(SHORTAGE_WAIT).await;
     }
