--- a/tests/pipelined.rs
+++ b/tests/pipelined.rs
@@ -176,3 +176,31 @@
         assert_eq!(proxy.child.wait().expect("ended").code(), Some(0));
     }
 }
+
+/// Danger: a process that was stopped, or had no processor, would take what came meanwhile for new.
+#[test]
+fn a_request_that_came_while_the_process_stood_still_has_only_the_time_that_is_left() {
+    const STOOD: Duration = Duration::from_millis(700);
+    for kept in [true, false] {
+        let r = rig();
+        let mut client = r.proxy.client();
+        if kept {
+            client.write("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+            assert_eq!(client.answer().status(), 200);
+        }
+        r.proxy.halt();
+        if !kept {
+            client = r.proxy.client();
+        }
+        client.write(&get_as("stood", "read", "X-Time-Left: 5.000\r\n"));
+        let asked = Instant::now();
+        std::thread::sleep(STOOD);
+        r.proxy.signal("-CONT");
+        let mut node = r.cache.take();
+        let request = node.request();
+        let left = 5.0 - asked.elapsed().as_secs_f64();
+        assert!(time_left(&request) <= left + 0.15, "kept {kept}: {} of {left} s", time_left(&request));
+        node.reply("200 OK", "X-Lookup: hit\r\n", "");
+        assert_eq!(client.answer().status(), 200);
+    }
+}
