Count a request's time from the last moment in which the process ran before it was read

Cause: Intake::came took the moment of the reading for that of the coming, also behind a stop (SIGSTOP, a suspended machine, no processor). Change: stalls, a tick every 25 ms; what is read within 10 ms behind one that was 50 ms overdue is as old as the tick before.

--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -2,6 +2,7 @@
 //! also where it stands behind others that are being answered.
 
 use super::socket::Socket;
+use super::stalls;
 use super::BUFFER_MOST;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -70,7 +71,7 @@
         while arrivals.front().is_some_and(|a| end == ALL || a.end < end) {
             arrivals.pop_front();
         }
-        arrivals.push_back(Arrival { end: self.read.get(), at });
+        arrivals.push_back(Arrival { end: self.read.get(), at: stalls::earliest(at) });
     }
 
     /// So many bytes were handed on.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -42,6 +42,7 @@
 mod settings;
 pub mod signals;
 mod socket;
+mod stalls;
 pub mod subscription;
 mod tally;
 mod terms;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -20,6 +20,7 @@
 use super::pools::Pools;
 use super::rollout::Rollout;
 use super::signals::SignalFlag;
+use super::stalls;
 use super::trace::{self, Event};
 use super::upstream::Upstreams;
 use super::{BODY_MOST, BUFFER_MOST};
@@ -160,6 +161,7 @@
     };
     let left = |c: Cold| ColdLeft { server: c.node, started: c.started, left: c.left };
     front.take_cold(&cold.into_iter().map(left).collect::<Vec<_>>());
+    tokio::task::spawn_local(stalls::watch());
     let sweeper = front.clone();
     tokio::task::spawn_local(async move {
         loop {
