--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -2,7 +2,8 @@
 //! and two or three troubles at a time, drawn from a seed. It is judged by invariants alone: what clients were promised, what nodes
 //! got, and what the proxies themselves count as broken rules.
 //!
-//! `RUSHQUAY_SEED=7` plays another one, `RUSHQUAY_SOAK=40` so many rounds, `RUSHQUAY_SEEDS=10` so many seeds one after another.
+//! `RUSHQUAY_SEED=7` plays another one, `RUSHQUAY_SOAK=40` so many rounds, `RUSHQUAY_SEEDS=10` so many seeds one after another,
+//! `RUSHQUAY_TROUBLES=6` up to so many troubles at a time, `RUSHQUAY_PROXIES=4` so many proxies in each data centre.
 
 mod judge;
 mod troubles;
@@ -41,7 +42,7 @@
         .collect();
     let mut troubles = Troubles::new(&clients);
     for _ in 0..rounds {
-        for _ in 0..random.random_range(2..4u32) {
+        for _ in 0..random.random_range(2..=told("RUSHQUAY_TROUBLES", 3)) {
             troubles.begin(&mut fleet, &mut random).await;
         }
         tokio::time::sleep(Duration::from_millis(random.random_range(400..1800))).await;
