--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -3,7 +3,8 @@
 //! got, and what the proxies themselves count as broken rules.
 //!
 //! `RUSHQUAY_SEED=7` plays another one, `RUSHQUAY_SOAK=40` so many rounds, `RUSHQUAY_SEEDS=10` so many seeds one after another,
-//! `RUSHQUAY_TROUBLES=6` up to so many troubles at a time, `RUSHQUAY_PROXIES=4` so many proxies in each data centre.
+//! `RUSHQUAY_TROUBLES=6` up to so many troubles at a time, `RUSHQUAY_PROXIES=4` so many proxies in each data centre,
+//! `RUSHQUAY_PROGRAM=FILE` another version of the program.
 
 mod judge;
 mod troubles;
@@ -21,14 +22,14 @@
 const WITHIN: Duration = Duration::from_secs(2);
 const PAUSE: Duration = Duration::from_millis(60);
 
+/// The program that is played: this one, or another version of it.
+fn program() -> String {
+    std::env::var("RUSHQUAY_PROGRAM").unwrap_or_else(|_| env!("CARGO_BIN_EXE_rushquay").to_owned())
+}
+
 fn shape(seed: u64) -> Shape {
     let proxies = told("RUSHQUAY_PROXIES", PROXIES) as usize;
-    Shape {
-        proxies,
-        controls: CONTROLS,
-        deadline: WITHIN,
-        ..Shape::new(env!("CARGO_BIN_EXE_rushquay"), seed)
-    }
+    Shape { proxies, controls: CONTROLS, deadline: WITHIN, ..Shape::new(&program(), seed) }
 }
 
 async fn soak(seed: u64, rounds: u64) {
--- a/tests/soak/troubles.rs
+++ b/tests/soak/troubles.rs
@@ -27,7 +27,7 @@
 /// Most processes get the library of faults, each with a part of them.
 pub fn preload(fleet: &mut Fleet, seed: u64) {
     let rules = [INTERRUPTED, SHORT_OF, CLOCK];
-    let program = PathBuf::from(env!("CARGO_BIN_EXE_rushquay"));
+    let program = PathBuf::from(crate::program());
     for (n, proxy) in fleet.proxies.iter_mut().enumerate().filter(|(n, _)| n % 4 != 3) {
         let faults = Faults::new(seed + n as u64, rules[n % 4]).while_exists(&switch());
         proxy.other = Some((program.clone(), faults.variables()));
