--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -389,3 +389,24 @@
     assert!(stopped.elapsed() < Duration::from_secs(3), "{:?}", stopped.elapsed());
     assert!(r.cache.none_came() && r.origin.none_came());
 }
+
+/// Danger: a node would be told of the hour that a long body may take, and work on for a client that has long stopped waiting.
+#[test]
+fn a_long_body_goes_on_with_the_time_that_its_client_waits_behind_its_last_byte() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    let body = part(0, 200_000);
+    client.write(&format!(
+        "PUT /set/1 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: long\r\nIdempotency-Key: long\r\nX-Time-Left: 5.000\r\n\
+         Content-Length: {}\r\n\r\n",
+        body.len()
+    ));
+    client.0.get_mut().write_all(&body).expect("written");
+    let mut node = r.origin.take();
+    let request = node.request();
+    let told: f64 = request.header("x-time-left").and_then(|t| t.parse().ok()).expect("a time");
+    assert!(told <= 5.15, "{told} s");
+    assert_eq!(digest(&request.body), digest(&body));
+    node.reply("200 OK", "", "done");
+    assert_eq!(client.answer().status(), 200);
+}
