Tell a node with a long body how long its client waits behind the last byte

Cause: src/net/engine.rs, arrive: the deadline of a body that is passed on as it comes holds the hour that the body may take, and X-Time-Left was computed from it. Change: Span::told_most; the attempt itself may take as long as before.

--- a/crates/operate/tests/operate.rs
+++ b/crates/operate/tests/operate.rs
@@ -1,7 +1,10 @@
 //! Calls in every shape, and the ledger's one law under any order of events.
 
 use proptest::prelude::*;
-use rushquay_operate::{figures, Call, End, Entry, Ledger, Line, NotACall, Places, Standing, LINE_MOST};
+use rushquay_guard::{CloseCause, Violation};
+use rushquay_operate::{
+    figures, Call, Cause, End, Entry, Ledger, Line, NotACall, Places, Standing, LINE_MOST,
+};
 
 fn names(names: &[&str]) -> Vec<String> {
     names.iter().map(|n| (*n).to_owned()).collect()
@@ -52,6 +55,11 @@
     ledger.attempts.one_more();
     ledger.members.set(12);
     ledger.unavailable.set(2);
+    ledger.retries.one_more(Cause::Miss);
+    ledger.retries.one_more(Cause::SecondCopy);
+    ledger.retries.one_more(Cause::Miss);
+    ledger.closes.one_more(CloseCause::Drain);
+    ledger.violations.one_more(Violation::ClosedUnanswered);
     let text = figures(&ledger);
     let lines: Vec<&str> = text.lines().collect();
     assert_eq!(
@@ -67,6 +75,17 @@
             "proxy_pending 1",
             "proxy_members 12",
             "proxy_members_unavailable 2",
+            "proxy_retries{after=\"miss\"} 2",
+            "proxy_retries{after=\"second_copy\"} 1",
+            "proxy_retries_total 3",
+            "proxy_refusals_total 0",
+            "proxy_failures_total 0",
+            "proxy_attempts_denied_total 0",
+            "proxy_client_closes{cause=\"drain\"} 1",
+            "proxy_client_closes_total 1",
+            "proxy_node_closes_total 0",
+            "proxy_violations{rule=\"closed_unanswered\"} 1",
+            "proxy_violations_total 1",
             "."
         ]
     );
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -71,6 +71,8 @@
     deadline: Nanos,
     /// When its client stops waiting.
     client_until: Nanos,
+    /// For how long its client waits behind the last byte of a body that is passed on as it comes; `None`: its last byte has come.
+    behind_body: Option<Nanos>,
     /// Until the final answer is given.
     answer: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
@@ -235,8 +237,20 @@
         let remembered = self.acting.borrow().remembered(request.class);
         let (job, attempts) = (Rc::new(job), Vec::new());
         let client_until = now.saturating_add(patience);
+        let behind_body = job.upload().map(|_| patience.saturating_sub(upload));
         let answer = Some(answer);
-        let pending = Pending { id, keyed, remembered, job, terms, deadline, client_until, answer, attempts };
+        let pending = Pending {
+            id,
+            keyed,
+            remembered,
+            job,
+            terms,
+            deadline,
+            client_until,
+            behind_body,
+            answer,
+            attempts,
+        };
         core.pending.insert(id, pending);
         account::count(Kind::Arrival, 1);
         self.feed(core, Event::Arrival(request));
@@ -376,7 +390,8 @@
         }
         let begin = pending.repeat_by().map(|by| Duration::from_nanos(by.saturating_sub(now)));
         let client = Duration::from_nanos(pending.client_until.saturating_sub(now));
-        let span = Span { whole: Duration::from_nanos(wait), begin, client };
+        let told_most = pending.behind_body.map(Duration::from_nanos);
+        let span = Span { whole: Duration::from_nanos(wait), begin, client, told_most };
         let importance = pending.terms.as_ref().map(|t| t.importance);
         let (job, cancellation) = (pending.job.clone(), Rc::new(Cancellation::default()));
         let (upstreams, held, myself) = (self.upstreams.clone(), cancellation.clone(), self.myself.clone());
--- a/src/net/job.rs
+++ b/src/net/job.rs
@@ -59,12 +59,15 @@
     pub begin: Option<Duration>,
     /// Until the client stops waiting.
     pub client: Duration,
+    /// The node is told of no more than this; `None`: of all that is left. The time of a body that still comes runs from its last
+    /// byte, for the client and for the node.
+    pub told_most: Option<Duration>,
 }
 
 impl Span {
     /// With no bound on its beginning, for a client that waits no longer.
     pub fn of(whole: Duration) -> Self {
-        Span { whole, begin: None, client: whole }
+        Span { whole, begin: None, client: whole, told_most: None }
     }
 }
 
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -43,12 +43,15 @@
     whole: Nanos,
     begin: Option<Nanos>,
     client: Nanos,
+    /// The most that the node is told of.
+    told_most: Nanos,
 }
 
 impl Due {
     fn of(span: &Span, now: Nanos) -> Self {
         let at = |span: Duration| now.saturating_add(span.as_nanos() as Nanos);
-        Due { whole: at(span.whole), begin: span.begin.map(at), client: at(span.client) }
+        let told_most = span.told_most.map_or(Nanos::MAX, |most| most.as_nanos() as Nanos);
+        Due { whole: at(span.whole), begin: span.begin.map(at), client: at(span.client), told_most }
     }
 }
 
@@ -435,7 +438,7 @@
                 connection.end(NodeCloseCause::NodeChanged);
                 return self.denied(job, server, denied);
             }
-            let told_left = due.whole.saturating_sub(steady());
+            let told_left = due.whole.saturating_sub(steady()).min(due.told_most);
             let (pool, looks_at) = (self.clone(), cancellation.clone());
             let facts = Box::new(move || SendFacts {
                 deadline: due.client,
