--- a/crates/guard/src/serve.rs
+++ b/crates/guard/src/serve.rs
@@ -25,7 +25,8 @@
     }
 }
 
-/// The guard of every word that says "this process serves": health, STATUS, signs of life and a hand-over.
+/// The guard of the words that say "this process serves": health and STATUS. Signs of life to a host and the yes of a hand-over do not
+/// ask it yet.
 ///
 /// # Errors
 /// Why it must not be said.
