Add a failing test of a start that fails behind its listener

The test chose a port that was free a moment before; where another test of the same process takes it meanwhile, the admin page can't listen, and the proxy ends behind LocalProxy::start, which had been told the address already. The new test holds the port: start gives a proxy where it owes the error.

--- a/tests/envoy/files.rs
+++ b/tests/envoy/files.rs
@@ -49,6 +49,24 @@
     until("it is gone", async || client.get("/read/1").await.status == 503).await;
 }
 
+/// A bootstrap file whose admin page is at this address.
+fn with_admin_page(management: &Management, admin: std::net::SocketAddr) -> String {
+    bootstrap(management.addr, rushquay_xds::server::Variant::Delta).replace(
+        "address: 127.0.0.1, port_value: 0}",
+        &format!("address: {}, port_value: {}}}", admin.ip(), admin.port()),
+    )
+}
+
+#[tokio::test]
+async fn a_proxy_whose_admin_page_cannot_listen_says_so_at_its_start() {
+    let management = Management::start().await;
+    let taken = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let taken = taken.local_addr().map(|addr| (taken, addr)).expect("an address");
+    let started = Proxy::try_start(&with_admin_page(&management, taken.1), |_| {});
+    let why = started.err().expect("it must not pass for started");
+    assert!(why.contains(&format!("admin.address: {}", taken.1)), "{why}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn operators_see_clusters_with_effective_weights_and_all_that_came() {
     let nodes = nodes(2, Duration::ZERO).await;
--- a/tests/envoy/rig.rs
+++ b/tests/envoy/rig.rs
@@ -154,6 +154,11 @@
 
     /// With other settings.
     pub fn start_with(bootstrap: &str, settings: impl FnOnce(&mut serde_json::Value)) -> Self {
+        Self::try_start(bootstrap, settings).expect("a proxy")
+    }
+
+    /// The same, or what the proxy could not start for.
+    pub fn try_start(bootstrap: &str, settings: impl FnOnce(&mut serde_json::Value)) -> Result<Self, String> {
         let folder = Folder::new();
         folder.put("bootstrap.yaml", bootstrap);
         let toml = "bootstrap = 'bootstrap.yaml'\nbackoff_ms = 20\nbackoff_most_ms = 200\n";
@@ -164,7 +169,7 @@
         config["limits"]["sockets"] = json!(1024);
         config["limits"]["memory_mb"] = json!(192);
         settings(&mut config);
-        Proxy { proxy: LocalProxy::start(&config.to_string()).expect("a proxy"), _folder: folder }
+        Ok(Proxy { proxy: LocalProxy::start(&config.to_string())?, _folder: folder })
     }
 
     pub async fn client(&self) -> Client {
