Tell where the proxy listens only when nothing of its start may fail

Cause: server::run told its starter the address before the operators' address and the admin page were bound, so LocalProxy::start gave a proxy that had ended (src/net/server.rs, told). They hold a reservation now (tests/envoy/rig.rs). Ruled out: the proxy itself ending (no other error path lies between the listener and its first answer).

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -136,7 +136,6 @@
     super::account::start();
     trace::start();
     trace::event(|| Event::State { state: "starting" });
-    told(bound);
     let ledger = Ledger::new(&config.names.classes);
     let operators = config.admin.map(|admin| Operators::start(admin, ledger.clone())).transpose()?;
     if let Some(operators) = &operators {
@@ -159,6 +158,8 @@
         }
         None => one(config, descriptors.clone(), ledger.clone(), hangup, handed)?,
     };
+    // Danger: a starter that hears of the address takes the process for started, and nothing that may fail comes behind.
+    told(bound);
     let left = |c: Cold| ColdLeft { server: c.node, started: c.started, left: c.left };
     front.take_cold(&cold.into_iter().map(left).collect::<Vec<_>>());
     tokio::task::spawn_local(stalls::watch());
--- a/tests/envoy/files.rs
+++ b/tests/envoy/files.rs
@@ -71,11 +71,8 @@
 async fn operators_see_clusters_with_effective_weights_and_all_that_came() {
     let nodes = nodes(2, Duration::ZERO).await;
     let management = Management::start().await;
-    let free =
-        tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("bound").local_addr().expect("an address");
-    let text = bootstrap(management.addr, rushquay_xds::server::Variant::Delta)
-        .replace("port_value: 0}", &format!("port_value: {}}}", free.port()));
-    let proxy = Proxy::start(&text);
+    let (_reservation, free) = reserved_address().await;
+    let proxy = Proxy::start(&with_admin_page(&management, free));
     let list = [endpoint(nodes[0].addr, ", load_balancing_weight: 3"), endpoint(nodes[1].addr, "")];
     management.declare(&[cluster("c", ""), assignment("c", &list), listener(), routes(1, &[&all_to("c")])]);
     proxy.reached(1).await;
--- a/tests/envoy/rig.rs
+++ b/tests/envoy/rig.rs
@@ -249,6 +249,14 @@
     sender
 }
 
+/// An address where nobody else listens for as long as the reservation is held: its port is held at the address that all other
+/// listeners of tests share.
+pub async fn reserved_address() -> (TcpListener, SocketAddr) {
+    let reservation = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let port = reservation.local_addr().expect("an address").port();
+    (reservation, SocketAddr::from(([127, 78, 0, 1], port)))
+}
+
 /// A key that no other call gives.
 pub fn key() -> String {
     format!("{:016x}", NUMBER.fetch_add(1, Ordering::Relaxed).wrapping_mul(0x9e37_79b9_7f4a_7c15))
--- a/tests/envoy/rules.rs
+++ b/tests/envoy/rules.rs
@@ -275,7 +275,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_retry_policy_forbids_what_it_does_not_name() {
     let nodes = nodes(1, Duration::ZERO).await;
-    let dead = TcpListener::bind("127.0.0.1:0").await.expect("bound").local_addr().expect("an address");
+    let (_reservation, dead) = reserved_address().await;
     let management = Management::start().await;
     let proxy = Proxy::start(&bootstrap(management.addr, Variant::Delta));
     // Nobody listens at the one that is to take nearly all.
