--- a/tests/envoy/main.rs
+++ b/tests/envoy/main.rs
@@ -2,6 +2,7 @@
 //! after each change what the nodes see is what was declared, and every request has its one answer.
 
 mod churn;
+mod clocks;
 mod files;
 mod rig;
 mod routing;
--- a/tests/envoy/rules.rs
+++ b/tests/envoy/rules.rs
@@ -16,20 +16,20 @@
 }
 
 /// A node that the test plays by hand.
-struct Raw {
+pub struct Raw {
     listener: TcpListener,
-    addr: std::net::SocketAddr,
+    pub addr: std::net::SocketAddr,
 }
 
 impl Raw {
-    async fn new() -> Self {
+    pub async fn new() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
         let addr = listener.local_addr().expect("an address");
         Raw { listener, addr }
     }
 
     /// The next connection, with a whole request read from it.
-    async fn request(&self) -> TcpStream {
+    pub async fn request(&self) -> TcpStream {
         let (mut stream, _) =
             tokio::time::timeout(LONG, self.listener.accept()).await.expect("in time").expect("a connection");
         read_head(&mut stream).await;
--- a/tests/shim/faults.c
+++ b/tests/shim/faults.c
@@ -5,7 +5,7 @@
  * RUSHQUAY_FAULTS  what fails: rules, separated by ';', each CALL:KIND=PROBABILITY. CALL is one of accept, connect, socket,
  *                  recv, send, poll, sync, write; KIND is an errno by name, or `short` (recv, send: one byte at most is
  *                  moved). `seed=N` sets the seed of the draws, `step=S/P` steps the wall clock by S seconds, forward and back
- *                  in turn, every P seconds.
+ *                  in turn, every P seconds; `jump=S` has the wall clock S seconds ahead for as long as faults are injected.
  * RUSHQUAY_FAULTS_WHEN  a file: faults are injected only while it exists (looked at every 5 ms). Without: always.
  * RUSHQUAY_FAULTS_LOG   a file: each fault is appended as a line "seconds call kind".
  *
@@ -58,7 +58,7 @@
 
 static struct rule rules[RULES_MOST];
 static int rule_count;
-static double step_seconds, step_period;
+static double step_seconds, step_period, jump_seconds;
 static const char *when_file;
 static int log_fd = -1;
 static uint64_t random_state = 1;
@@ -111,6 +111,8 @@
             random_state = strtoull(part + 5, NULL, 10) * 2654435761u + 1;
         else if (strncmp(part, "step=", 5) == 0)
             sscanf(part + 5, "%lf/%lf", &step_seconds, &step_period);
+        else if (strncmp(part, "jump=", 5) == 0)
+            jump_seconds = atof(part + 5);
         else
             add_rule(part);
     }
@@ -289,9 +291,17 @@
 }
 
 static double step_now(void) {
+    double jump = 0;
+    if (jump_seconds != 0) {
+        int saved = errno;
+        pthread_mutex_lock(&lock);
+        jump = is_on() ? jump_seconds : 0;
+        pthread_mutex_unlock(&lock);
+        errno = saved;
+    }
     if (step_period <= 0)
-        return 0;
-    return ((long)(since_start() / step_period) & 1) ? step_seconds : 0;
+        return jump;
+    return jump + (((long)(since_start() / step_period) & 1) ? step_seconds : 0);
 }
 
 int clock_gettime(clockid_t clock, struct timespec *to) {
