Give clusters in Envoy's form, their groups and the catalogue one clock

Cause: src/net/pools.rs started a clock for each cluster, envoy/mod.rs and envoy/driver.rs each one more; begun round a step of the wall clock they differ by an hour for good, and may_repeat compares an attempt of one with a change of group of another. A keyed request that may have run was repeated in a group that does not remember it. Now server::run begins one clock, by the clocks of the configuration, and passes it on; Clock::new is gone, so that none can be begun on the side. Ruled out elsewhere: the decision module's clock in the plain form (one per process), policy and leases (steady clock), the roster (believes a lower boot once the other is silent).

--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -18,11 +18,6 @@
 }
 
 impl Clock {
-    /// Starts now, by the machine's clock.
-    pub fn new() -> Self {
-        Self::by(&Clocks::default())
-    }
-
     /// Starts now, by this wall clock.
     pub fn by(clocks: &Clocks) -> Self {
         Clock { base: (clocks.wall)(), start: Instant::now() }
--- a/src/net/envoy/driver.rs
+++ b/src/net/envoy/driver.rs
@@ -38,7 +38,7 @@
 
 impl Driver {
     pub fn new(source: EnvoySource, me: Me, hand: Arc<Handover>, resolver: Rc<dyn Resolver>) -> Self {
-        let clock = Clock::new();
+        let clock = me.clock;
         let choice = Choice { name: source.listener.clone(), address: Some(me.listen) };
         let catalogue = Rc::new(RefCell::new(Catalogue::new(&source.bootstrap, choice, clock.now())));
         let shared = Rc::new(Shared { catalogue, clock, kick: Notify::new() });
--- a/src/net/envoy/mod.rs
+++ b/src/net/envoy/mod.rs
@@ -59,6 +59,8 @@
     pub seed: u64,
     /// Where it listens: of several listeners that are told this one's is served.
     pub listen: SocketAddr,
+    /// The clock by which its clusters date their attempts.
+    pub clock: Clock,
 }
 
 /// Follows what is declared, for as long as the proxy's thread lives.
@@ -80,6 +82,7 @@
     resolver: impl FnOnce() -> Rc<dyn Resolver> + Send + 'static,
 ) -> Result<(), String> {
     let hand = Arc::new(Handover::default());
+    let clock = me.clock;
     let (figures, mut asked) = mpsc::channel::<oneshot::Sender<Figures>>(4);
     let (alive, ended) = oneshot::channel::<()>();
     let (ready, started) = std::sync::mpsc::channel::<Result<Option<SocketAddr>, String>>();
@@ -111,7 +114,6 @@
         super::log(format_args!("admin page at {admin}"));
     }
     tokio::task::spawn_local(async move {
-        let clock = Clock::new();
         // Held until this thread's tasks end; then the other thread ends too.
         let _alive = alive;
         loop {
@@ -130,6 +132,7 @@
     use crate::api::Settings;
     use crate::net::descriptors::Descriptors;
     use crate::net::names::Names;
+    use rushquay_control_service::Clocks;
     use rushquay_operate::Ledger;
     use std::net::IpAddr;
     use std::sync::atomic::{AtomicUsize, Ordering};
@@ -172,13 +175,14 @@
                 resources_most: 10,
                 answer_most: 1 << 20,
             };
-            let pools =
-                Pools::new(Settings::default(), Names::default(), 1, Descriptors::new(10), Ledger::new(&[]));
+            let clock = Clock::by(&Clocks::default());
+            let (settings, names) = (Settings::default(), Names::default());
+            let pools = Pools::new(settings, names, 1, Descriptors::new(10), Ledger::new(&[]), clock);
             let ips =
                 |list: &[&str]| list.iter().map(|ip| ip.parse().expect("an address")).collect::<Vec<_>>();
             let answers: Answers = Arc::new(Mutex::new(Ok(ips(&["127.0.0.1", "127.0.0.2", "::1"]))));
             let listen = "127.0.0.1:1".parse().expect("an address");
-            let me = Me { name: "p".into(), seed: 1, listen };
+            let me = Me { name: "p".into(), seed: 1, listen, clock };
             let (told, asked) = (answers.clone(), Arc::new(AtomicUsize::new(0)));
             let counted = asked.clone();
             follow_with(source, pools.clone(), me, || Rc::new(Told(told, counted))).expect("started");
--- a/src/net/pools.rs
+++ b/src/net/pools.rs
@@ -70,6 +70,8 @@
 pub struct Pools {
     acting: Rc<Acting>,
     seed: u64,
+    /// The one clock of all clusters, and of who tells of their changes.
+    clock: Clock,
     descriptors: Rc<Descriptors>,
     ledger: Arc<Ledger>,
     clusters: RefCell<HashMap<Arc<str>, Rc<Cluster>>>,
@@ -86,10 +88,12 @@
         seed: u64,
         descriptors: Rc<Descriptors>,
         ledger: Arc<Ledger>,
+        clock: Clock,
     ) -> Rc<Self> {
         Rc::new(Pools {
             acting: Rc::new(Acting::new(Settings { must_ask: false, ..settings }, names)),
             seed,
+            clock,
             descriptors,
             ledger,
             clusters: RefCell::default(),
@@ -213,7 +217,7 @@
         let upstreams = Upstreams::bounded(self.descriptors.clone(), self.ledger.clone(), bounds);
         // Each cluster's chances are its own.
         let seed = self.seed ^ server_id(&spec.name);
-        let engine = Engine::new(self.acting.clone(), seed, &[], upstreams.clone(), Clock::new());
+        let engine = Engine::new(self.acting.clone(), seed, &[], upstreams.clone(), self.clock);
         Rc::new(Cluster {
             name: spec.name.clone(),
             engine,
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -147,16 +147,19 @@
         + operators.as_ref().map_or(0, |_| admin::DESCRIPTORS)
         + place.as_ref().map_or(0, |_| handover::DESCRIPTORS);
     let descriptors = Descriptors::new(capacity(share, own));
+    // Danger: two clocks that were begun round a step of the wall clock differ by that for good, and what one of them dates is compared
+    // with what the other does.
+    let clock = Clock::by(&config.clocks);
     let host = config.hosted.as_ref().map(|h| h.socket.clone());
     let Begun { front, rollout, policy } = match config.envoy.clone() {
         Some(source) => {
-            let pools =
-                Pools::new(config.settings, config.names, config.seed, descriptors.clone(), ledger.clone());
-            let me = envoy::Me { name: config.name, seed: config.seed, listen: bound };
+            let (settings, names) = (config.settings, config.names);
+            let pools = Pools::new(settings, names, config.seed, descriptors.clone(), ledger.clone(), clock);
+            let me = envoy::Me { name: config.name, seed: config.seed, listen: bound, clock };
             envoy::follow(source, pools.clone(), me)?;
             Begun { front: Front::Pools(pools), rollout: None, policy: None }
         }
-        None => one(config, descriptors.clone(), ledger.clone(), hangup, handed)?,
+        None => one(config, clock, descriptors.clone(), ledger.clone(), hangup, handed)?,
     };
     // Danger: a starter that hears of the address takes the process for started, and nothing that may fail comes behind.
     told(bound);
@@ -316,6 +319,7 @@
 /// One decision module on the list of the proxy's own discovery, with a control service's where one is subscribed to.
 fn one(
     config: Config,
+    clock: Clock,
     descriptors: Rc<Descriptors>,
     ledger: Arc<Ledger>,
     hangup: SignalFlag,
@@ -333,7 +337,7 @@
     let known = config.known;
     let discovery = Discovery::new(discovery, known.as_ref().map(|known| known.version), manner);
     let listed = known.as_ref().map_or(&[][..], |known| &known.servers);
-    let engine = Engine::new(acting, config.seed, listed, upstreams.clone(), Clock::by(&config.clocks));
+    let engine = Engine::new(acting, config.seed, listed, upstreams.clone(), clock);
     let nodes = NodeList::new(engine.clone(), subscription.as_ref().map(|s| s.limits()), known.as_ref());
     let (moves, moved) = mpsc::unbounded_channel();
     tokio::task::spawn_local(discovery.follow(nodes.clone(), moved));
