Add a failing test of a successor that dies while the old process drains

Crossing of a hand-over, SIGTERM and a crash, found by reading draining.rs: leave_to_successor returns when the old process has no clients or no time left, whoever is alive by then; what waits at the shared door is reset when the old process closes it.

--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -472,3 +472,33 @@
     node.reply("200 OK", "X-Lookup: hit\r\n", "");
     assert_eq!(waiting.answer().status(), 200);
 }
+
+/// Danger: with its successor gone nobody else takes what waits at the door, and the door goes with the old process.
+#[test]
+fn an_old_process_that_ends_takes_the_door_back_where_its_successor_dies() {
+    let (place, cache) = (Place::new(), Server::new());
+    let servers = [member("c1", cache.addr, "std", "ready")];
+    let mut old = place.start(&servers);
+    old.yes();
+    let mut first = old.client();
+    first.ask("order", "");
+    let mut node = cache.take();
+    node.request();
+    let mut new = place.start(&servers);
+    new.yes();
+    old.logged("a new process serves");
+    old.signal("-TERM");
+    old.logged("draining");
+    new.child.kill().expect("killed");
+    new.child.wait().expect("ended");
+    old.logged("the new process has ended");
+    let mut waiting = old.client();
+    waiting.ask("order", "");
+    let mut second = cache.take();
+    second.request();
+    second.reply("200 OK", "X-Lookup: hit\r\n", "");
+    assert_eq!(waiting.answer().status(), 200);
+    node.reply("200 OK", "X-Lookup: hit\r\n", "");
+    assert_eq!(first.answer().status(), 200);
+    assert_eq!(old.child.wait().expect("ended").code(), Some(0));
+}
