Take the door back in a drain where the successor dies

Cause: Server::drain decided once, at SIGTERM, whether a successor has the door; leave_to_successor waited for its own clients alone (src/net/draining.rs). Now it is woken by the loss of the successor (Keeper::successor_lost), and whoever is alone when it returns closes the door as without a hand-over. Ruled out: the offered state (a new one that dies before its yes never had the door).

--- a/src/net/draining.rs
+++ b/src/net/draining.rs
@@ -44,15 +44,15 @@
         self.draining.set(true);
         self.rollout.iter().for_each(|r| r.leave());
         self.tell_operators();
-        if keeper.succeeded() {
-            drop(accepting);
-            self.leave_to_successor(start + longest).await;
-            keeper.close();
-            drop(listener);
-        } else {
-            self.close_door(accepting, &listener, start, end).await;
-            keeper.close();
-            drop(listener);
+        self.leave_to_successor(keeper, start + longest).await;
+        // Danger: where the successor has died nobody else takes what waits at the door.
+        let alone = !keeper.succeeded();
+        if alone {
+            self.close_door(accepting, &listener, keeper, start, end).await;
+        }
+        keeper.close();
+        drop(listener);
+        if alone {
             // Those who were let in last have their requests read.
             sleep(QUIET_FOR).await;
         }
@@ -61,14 +61,19 @@
         trace::event(|| Event::State { state: "ended" });
     }
 
-    /// A new process has the door. Danger: an idle connection that is closed just as its client asks on it costs that request a turn
-    /// at the door. Who asks is sent over by the answer; what never asks goes last.
-    async fn leave_to_successor(self: &Rc<Self>, last: Instant) {
+    /// Waits, while a new process has the door, until all clients have left, and `last` at the latest. Danger: an idle connection that
+    /// is closed just as its client asks on it costs that request a turn at the door. Who asks is sent over by the answer; what never
+    /// asks goes last.
+    async fn leave_to_successor(self: &Rc<Self>, keeper: &Keeper, last: Instant) {
+        if !keeper.succeeded() {
+            return;
+        }
         // What was taken from the door is this process's to answer.
         let _ = timeout_at(last, self.admit_waiting()).await;
-        while !self.clients.borrow().is_empty() {
+        while keeper.succeeded() && !self.clients.borrow().is_empty() {
             tokio::select! {
                 () = self.left.notified() => {}
+                () = keeper.successor_lost() => {}
                 () = sleep_until(last) => return,
             }
         }
@@ -80,6 +85,7 @@
         self: &Rc<Self>,
         mut accepting: Pin<Box<impl Future<Output = Infallible>>>,
         listener: &TcpListener,
+        keeper: &Keeper,
         start: Instant,
         end: Instant,
     ) {
@@ -97,7 +103,8 @@
         let last = end - 2 * LAST_WORD;
         let _ = timeout_at(last, self.admit_waiting()).await;
         let mut taken = 0;
-        while taken < QUEUED_MOST && Instant::now() < last {
+        // A new process that said only now that it serves has the door.
+        while taken < QUEUED_MOST && Instant::now() < last && !keeper.succeeded() {
             let Some(permit) = self.place_now() else {
                 let _ = timeout(YIELD_WITHIN, self.descriptors.freed()).await;
                 continue;
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, UnixListener, UnixStream};
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
@@ -213,6 +214,8 @@
     peers: Cell<usize>,
     next: Cell<u64>,
     place: Option<PathBuf>,
+    /// Told when a new process that served in this one's place has ended.
+    lost: Notify,
     /// Who waits at the meeting place.
     waiting: RefCell<Option<JoinHandle<()>>>,
 }
@@ -232,6 +235,7 @@
             me,
             peers: Cell::new(0),
             next: Cell::new(0),
+            lost: Notify::new(),
             place: place.map(Path::to_path_buf),
             waiting: RefCell::new(None),
         });
@@ -273,6 +277,11 @@
         self.machine.borrow().succeeded()
     }
 
+    /// Returns when a new process that served in this one's place has ended.
+    pub async fn successor_lost(&self) {
+        self.lost.notified().await;
+    }
+
     /// There is nothing left to hand over.
     pub fn close(&self) {
         self.machine.borrow_mut().close();
@@ -296,6 +305,7 @@
                         let served = keeper.machine.borrow_mut().lost(peer);
                         if served {
                             log("the new process has ended; this one serves on");
+                            keeper.lost.notify_waiters();
                             keeper.clone().wait();
                         }
                         keeper.hold();
