Add failing tests of a host that can't look up its processes

Found by reading src/host for crossings with system calls that fail: processes.rs::started says None both for a process that is gone and for a look into /proc that failed (ENFILE, EMFILE). Measured with the library of faults (new call proc): a proxy that runs is taken for ended, and behind the start of a child the host waits in child.wait() for as long as that runs: 40 s and more in which it looks at nothing.

--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -367,10 +367,16 @@
 
     fn proxy_process(&self, n: usize) -> Process {
         let proxy = &self.proxies[n];
+        let (program, more) = match &proxy.other {
+            Some((program, more)) => (program, more.as_slice()),
+            None => (&self.shape.program, &[][..]),
+        };
+        let more: Vec<(&str, &str)> =
+            more.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
         if self.shape.hosts.is_some() {
             let config = proxy.host.to_str().expect("a path");
             let args = ["host", "run", "--config", config];
-            let process = Process::start(&proxy.name, &self.shape.program, &args, &[], &self.history);
+            let process = Process::start(&proxy.name, program, &args, &more, &self.history);
             process.says("rushquay host: host of ");
             self.relay.control().lead(&format!("front:{}", proxy.name), proxy.listen).expect("a leg");
             return process;
@@ -389,11 +395,7 @@
         ];
         let policy = proxy.policy.as_deref().map(text);
         variables.extend(policy.iter().map(|policy| ("PROXY_POLICY", policy.as_str())));
-        let (program, more) = match &proxy.other {
-            Some((program, more)) => (program, more.as_slice()),
-            None => (&self.shape.program, &[][..]),
-        };
-        variables.extend(more.iter().map(|(name, value)| (name.as_str(), value.as_str())));
+        variables.extend(more);
         let process = Process::start(&proxy.name, program, &[], &variables, &self.history);
         process.says("rushquay: listening on ");
         self.relay.control().lead(&format!("front:{}", proxy.name), proxy.listen).expect("a leg");
--- a/tests/hosts/main.rs
+++ b/tests/hosts/main.rs
@@ -5,6 +5,7 @@
 mod bad;
 mod good;
 mod killed;
+mod shortage;
 
 use rushquay_harness::{in_order, phase, start, words, Fleet, Shape};
 use serde_json::{json, Value};
--- a/tests/shim/faults.c
+++ b/tests/shim/faults.c
@@ -3,7 +3,7 @@
  * calls fail in ways that Linux documents. Nothing that ships depends on it.
  *
  * RUSHQUAY_FAULTS  what fails: rules, separated by ';', each CALL:KIND=PROBABILITY. CALL is one of accept, connect, socket,
- *                  recv, send, poll, sync, write; KIND is an errno by name, or `short` (recv, send: one byte at most is
+ *                  recv, send, poll, sync, write, proc (what the machine says of its processes is opened); KIND is an errno by name, or `short` (recv, send: one byte at most is
  *                  moved). `seed=N` sets the seed of the draws, `step=S/P` steps the wall clock by S seconds, forward and back
  *                  in turn, every P seconds; `jump=S` has the wall clock S seconds ahead for as long as faults are injected.
  * RUSHQUAY_FAULTS_WHEN  a file: faults are injected only while it exists (looked at every 5 ms). Without: always.
@@ -12,6 +12,7 @@
  * A call that is made to fail has no effect, as the manual pages say of the errors that are injected here.
  */
 #define _GNU_SOURCE
+#include <dirent.h>
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -31,9 +32,9 @@
 #include <time.h>
 #include <unistd.h>
 
-enum call { ACCEPT, CONNECT, SOCKET, RECV, SEND, POLL, SYNC, WRITE, CALLS };
+enum call { ACCEPT, CONNECT, SOCKET, RECV, SEND, POLL, SYNC, WRITE, PROC, CALLS };
 static const char *const CALL_NAMES[CALLS] = {"accept", "connect", "socket", "recv", "send",
-                                              "poll",   "sync",    "write"};
+                                              "poll",   "sync",    "write",  "proc"};
 
 struct error_name {
     const char *name;
@@ -275,6 +276,30 @@
     return REAL(pwrite)(fd, from, length, at);
 }
 
+static int is_proc(const char *path) { return strncmp(path, "/proc", 5) == 0 && (path[5] == '/' || !path[5]); }
+
+int open64(const char *path, int flags, ...) {
+    mode_t mode = 0;
+    if (flags & (O_CREAT | O_TMPFILE)) {
+        va_list more;
+        va_start(more, flags);
+        mode = va_arg(more, mode_t);
+        va_end(more);
+    }
+    if (is_proc(path))
+        FAIL_IF(PROC);
+    return REAL(open64)(path, flags, mode);
+}
+
+DIR *opendir(const char *path) {
+    int fault = is_proc(path) ? fate(PROC) : 0;
+    if (fault > 0) {
+        errno = fault;
+        return NULL;
+    }
+    return REAL(opendir)(path);
+}
+
 int fsync(int fd) {
     FAIL_IF(SYNC);
     return REAL(fsync)(fd);
