Tell a process that has ended from one that can't be looked up

Cause: src/host/processes.rs::started made None of both. Its own children are signalled by their handle's number, which is theirs until they are waited for. Ruled out: the state machine in crates/host, which was told wrong things. Same mistake looked for: files.rs (NotFound is told apart from other errors), hosted.rs, roster.

--- a/src/cli/host.rs
+++ b/src/cli/host.rs
@@ -68,7 +68,8 @@
 fn status(settings: &HostSettings) -> Result<String, String> {
     let files = Files::open(settings)?;
     let mut out = format!("{}: its own file says {}\n", settings.name, settings.program);
-    for one in find(&files.socket()) {
+    let found = find(&files.socket());
+    for one in found.map_err(|e| format!("the processes of this machine can't be looked up: {e}"))? {
         out += &format!("process {} runs {}\n", one.id.pid, one.program);
     }
     let Some(record) = files.read_record()? else {
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -63,7 +63,9 @@
     // From here on no other host starts anything here, and all that one has started can be found.
     let _alone = files.lock()?;
     let socket_path = files.socket();
-    let found = find(&socket_path);
+    // Danger: what runs and is not found would have another proxy started beside it.
+    let found =
+        find(&socket_path).map_err(|e| format!("the processes of this machine can't be looked up: {e}"))?;
     let own = own(settings.program);
     let record = match files.read_record() {
         Ok(Some(record)) => record,
--- a/src/host/processes.rs
+++ b/src/host/processes.rs
@@ -4,8 +4,11 @@
 use crate::net::hosted::{GIVEN, HOST, OWN_PROGRAM, PROGRAM};
 use rushquay_generation::Digest;
 use rushquay_host::{Found, ProcId, Target};
+use rushquay_sockets::patiently;
+use rustix::io::Errno;
 use rustix::process::{kill_process, Pid, Signal};
 use std::collections::BTreeMap;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -14,33 +17,97 @@
 const BUSY_TRIES: u32 = 10;
 const BUSY_WAIT: Duration = Duration::from_millis(20);
 
-/// When a process was started, by the machine's count; `None`: it does not run.
-fn started(pid: u32) -> Option<u64> {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+/// What the machine says of a process number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Presence {
+    /// A process of this number runs; it was started then, by the machine's count.
+    Running { start: u64 },
+    /// None runs.
+    Gone,
+}
+
+/// Whether a process of this number runs.
+///
+/// # Errors
+/// The machine can't say at the moment. Danger: taken for gone, a process that runs would have another started beside it.
+fn look_up(pid: u32) -> io::Result<Presence> {
+    let stat = match std::fs::read_to_string(format!("/proc/{pid}/stat")) {
+        Ok(stat) => stat,
+        Err(e) if is_gone(&e) => return Ok(Presence::Gone),
+        Err(e) => return Err(e),
+    };
+    parse_stat(&stat)
+        .ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, "an unknown form of /proc/PID/stat"))
+}
+
+/// What `/proc/PID/stat` says; `None`: it has another form.
+fn parse_stat(stat: &str) -> Option<Presence> {
     // The name before it may hold anything.
     let mut fields = stat.rsplit_once(')')?.1.split_ascii_whitespace();
     let state = fields.next()?;
     let start = fields.nth(18)?.parse().ok()?;
-    (!matches!(state, "Z" | "X" | "x")).then_some(start)
+    match state {
+        "Z" | "X" | "x" => Some(Presence::Gone),
+        _ => Some(Presence::Running { start }),
+    }
+}
+
+/// Whether an error of `/proc` says that the process has ended, before the call or in its midst.
+fn is_gone(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::NotFound || error.raw_os_error() == Some(Errno::SRCH.raw_os_error())
+}
+
+/// Whether this very process runs.
+///
+/// # Errors
+/// The machine can't say at the moment.
+fn runs(id: ProcId) -> io::Result<bool> {
+    Ok(look_up(id.pid)? == Presence::Running { start: id.start })
 }
 
 /// The processes that hosts of this socket have started and that run.
-pub fn find(socket: &Path) -> Vec<Found> {
-    let entries = std::fs::read_dir("/proc").into_iter().flatten().flatten();
-    let pids = entries.filter_map(|e| e.file_name().to_str()?.parse::<u32>().ok());
-    pids.filter_map(|pid| {
-        let environ = std::fs::read(format!("/proc/{pid}/environ")).ok()?;
-        let told = |name: &str| {
-            let line = environ.split(|b| *b == 0).find(|line| {
-                line.strip_prefix(name.as_bytes()).is_some_and(|rest| rest.first() == Some(&b'='))
-            })?;
-            std::str::from_utf8(&line[name.len() + 1..]).ok()
-        };
-        (Path::new(told(HOST)?) == socket).then_some(())?;
-        let program: Digest = told(PROGRAM)?.parse().ok()?;
-        Some(Found { id: ProcId { start: started(pid)?, pid }, program })
+///
+/// # Errors
+/// The machine can't say, also after a while.
+pub fn find(socket: &Path) -> io::Result<Vec<Found>> {
+    patiently(|| {
+        let mut found = Vec::new();
+        for entry in std::fs::read_dir("/proc")? {
+            let name = entry?.file_name();
+            let pid = name.to_str().and_then(|name| name.parse().ok());
+            if let Some(pid) = pid {
+                found.extend(hosted(socket, pid)?);
+            }
+        }
+        Ok(found)
     })
-    .collect()
+}
+
+/// The process of this number, if a host of this socket has started it and it runs.
+fn hosted(socket: &Path, pid: u32) -> io::Result<Option<Found>> {
+    let environ = match std::fs::read(format!("/proc/{pid}/environ")) {
+        Ok(environ) => environ,
+        // Another user's is none of this host's.
+        Err(e) if is_gone(&e) || e.kind() == io::ErrorKind::PermissionDenied => return Ok(None),
+        Err(e) => return Err(e),
+    };
+    let Some(program) = started_as(socket, &environ) else { return Ok(None) };
+    Ok(match look_up(pid)? {
+        Presence::Running { start } => Some(Found { id: ProcId { start, pid }, program }),
+        Presence::Gone => None,
+    })
+}
+
+/// The program that a process with this environment is; `None`: no host of this socket has started it.
+fn started_as(socket: &Path, environ: &[u8]) -> Option<Digest> {
+    let told = |name: &str| {
+        let line = environ.split(|b| *b == 0).find(|line| {
+            line.strip_prefix(name.as_bytes()).is_some_and(|rest| rest.first() == Some(&b'='))
+        })?;
+        std::str::from_utf8(&line[name.len() + 1..]).ok()
+    };
+    (Path::new(told(HOST)?) == socket).then_some(())?;
+    told(PROGRAM)?.parse().ok()
 }
 
 /// The processes.
@@ -95,19 +162,31 @@
         }
         let mut child = spawned.map_err(|e| format!("{}: {e}", program.display()))?;
         let pid = child.id();
-        let Some(start) = started(pid) else {
-            let how = child.wait().map_or_else(|e| e.to_string(), |s| s.to_string());
-            return Err(format!("it ended at once: {how}"));
-        };
-        let id = ProcId { start, pid };
-        self.all.insert(id, Some(child));
-        Ok(id)
+        match patiently(|| look_up(pid)) {
+            Ok(Presence::Running { start }) => {
+                let id = ProcId { start, pid };
+                self.all.insert(id, Some(child));
+                Ok(id)
+            }
+            Ok(Presence::Gone) => {
+                let how = child.wait().map_or_else(|e| e.to_string(), |s| s.to_string());
+                Err(format!("it ended at once: {how}"))
+            }
+            // Danger: a process that this host does not know would run for good beside the next one.
+            Err(e) => {
+                let _ = child.kill();
+                let _ = child.wait();
+                Err(format!("process {pid} can't be looked up: {e}"))
+            }
+        }
     }
 
     /// Asks a process to end, or kills it.
     pub fn signal(&self, id: ProcId, kill: bool) {
-        // Danger: the machine may have given the number to somebody else since.
-        if started(id.pid) != Some(id.start) {
+        let own_child = self.all.get(&id).is_some_and(Option::is_some);
+        // Danger: the machine may have given the number of another's child to somebody else since. One that can't be looked up is
+        // killed later, when it has not ended in time.
+        if !own_child && !runs(id).unwrap_or(false) {
             return;
         }
         let pid = i32::try_from(id.pid).ok().and_then(Pid::from_raw);
@@ -126,7 +205,8 @@
                     Ok(Some(status)) => status.to_string(),
                     Err(e) => e.to_string(),
                 },
-                None if started(id.pid) == Some(id.start) => return true,
+                // What can't be looked up now is looked up again soon.
+                None if runs(*id).unwrap_or(true) => return true,
                 None => "how is not known, since a host before this one had started it".into(),
             };
             gone.push((*id, how));
