Add a failing test of a log that failing accepts of operators fill

Found by reading: admin.rs and handover.rs write a line for each accept that fails, every 10 and 100 ms; src/net/mod.rs keeps 500 lines of a run, so that five seconds of EMFILE silence whatever comes behind, broken rules included.

--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -204,3 +204,19 @@
         assert_eq!(answer.status(), 200, "client {n}");
     }
 }
+
+/// Danger: the log of a run is bounded, and a line for each failure would leave no room for anything else.
+#[test]
+fn a_shortage_where_operators_call_takes_few_lines_of_the_log() {
+    let mut faulty = Faulty::start("operators-log", "accept:EMFILE=1");
+    let _waiting = Peer::to(faulty.operators);
+    // Accepting fails and is tried again, some hundred times.
+    std::thread::sleep(Duration::from_secs(1));
+    faulty.turn(false);
+    faulty.proxy.signal("-TERM");
+    let mut log = String::new();
+    faulty.proxy.log.read_to_string(&mut log).expect("its log");
+    let lines = log.lines().filter(|l| l.contains("operators: accept")).count();
+    assert!((1..=10).contains(&lines), "{lines} lines");
+    std::fs::write(&faulty.switch, "").expect("written");
+}
