Log an outage of accept once, not each failure, for operators and hand-over

Cause: admin.rs::accept and Keeper::accept wrote a line for each failure. They tell the beginning, a new cause, each doubling and the end, as the door of clients does. An interrupted accept at the meeting place is made again at once.

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -2,6 +2,7 @@
 
 use rushquay_operate::{figures, Call, Ledger, Line, Places, Standing, Ticket, LINE_MOST};
 use rushquay_sockets::{accept as accept_one, patiently, RetryStream};
+use rushquay_xds::client::Outage;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -19,6 +20,8 @@
 const PLACES: usize = 12;
 /// The listener, the runtime's own, and a connection that takes the place of another.
 pub const DESCRIPTORS: usize = PLACES + 8;
+/// Where the system lacks what a connection needs, accepting goes on after this.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
 /// A line comes whole within this time.
 const LINE_WITHIN: Duration = Duration::from_secs(5);
 /// A caller takes its answer within this time, and closes within it.
@@ -84,16 +87,20 @@
         Err(e) => return super::log(format_args!("operators: {e}")),
     };
     let callers = Rc::new(RefCell::new(Callers { places: Places::new(PLACES), calls: HashMap::new() }));
+    let mut shortage = Outage::default();
     loop {
         let stream = match accept_one(&listener).await {
             Ok((stream, _)) => stream,
             Err(e) => {
                 // Danger: without descriptors accept fails at once, and again, and again.
-                super::log(format_args!("operators: accept: {e}"));
-                sleep(Duration::from_millis(10)).await;
+                if let Some(n) = shortage.failed(&e.to_string()) {
+                    super::log(format_args!("operators: accept: {e} (failure {n})"));
+                }
+                sleep(ACCEPT_AGAIN).await;
                 continue;
             }
         };
+        shortage.over();
         let (mine, gives_way) = callers.borrow_mut().places.come();
         if let Some(call) = gives_way.and_then(|t| callers.borrow_mut().calls.remove(&t)) {
             call.abort();
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -2,7 +2,8 @@
 
 use super::log;
 use rushquay_handover::{Claimant, Heard, Holder, Known, Offer, Peer, Reply, Share, Step, ToNew, ToOld};
-use rushquay_sockets::RetryStream;
+use rushquay_sockets::{classify, ErrorClass, RetryStream};
+use rushquay_xds::client::Outage;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -289,8 +290,13 @@
     }
 
     async fn accept(self: Rc<Self>, socket: UnixListener) {
+        let mut shortage = Outage::default();
         loop {
-            match socket.accept().await {
+            let accepted = socket.accept().await;
+            if accepted.is_ok() {
+                shortage.over();
+            }
+            match accepted {
                 Ok((stream, _)) if self.peers.get() < PEERS => {
                     self.peers.set(self.peers.get() + 1);
                     let peer = Peer(self.next.get());
@@ -313,8 +319,11 @@
                     });
                 }
                 Ok(_) => {}
+                Err(e) if classify(&e) == ErrorClass::Repeat => {}
                 Err(e) => {
-                    log(format_args!("hand-over: accept: {e}"));
+                    if let Some(n) = shortage.failed(&e.to_string()) {
+                        log(format_args!("hand-over: accept: {e} (failure {n})"));
+                    }
                     sleep(AGAIN_AFTER).await;
                 }
             }
