Add a failing test of a new process that takes over and may not serve

The guard of starting (may_serve) was asked for health and STATUS alone: behind a hand-over the new process says that it serves two seconds after it could reach a node, whether or not a policy lets it, and refuses what the old one had leave to serve.

--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -502,3 +502,31 @@
     assert_eq!(first.answer().status(), 200);
     assert_eq!(old.child.wait().expect("ended").code(), Some(0));
 }
+
+/// Danger: whoever hears that a new process serves has the old one end, which could.
+#[test]
+fn a_new_process_that_no_policy_lets_serve_leaves_the_old_one_its_place() {
+    let (place, seen) = (Place::new(), Seen::new());
+    let servers = [member("c1", node("c1", &seen), "std", "ready")];
+    let mut old = place.start(&servers);
+    old.yes();
+    let nobody = Server::new();
+    let mut config = place.config(&servers);
+    config["control_service"] = json!({"addresses": [nobody.addr.to_string()]});
+    config["policy"] = json!({"ask_ms": 100});
+    let mut new = Proxy::with(&config, &[("TMPDIR", place.dir.to_str().expect("a path"))]);
+    new.logged("no leave yet");
+    // Each of these connections is taken by whoever accepts at the shared address.
+    for _ in 0..40 {
+        let mut client = old.client();
+        client.ask("read", "");
+        assert_eq!(client.answer().status(), 200, "answered by a process that may not serve");
+    }
+    // It takes over all the same where the old one is gone.
+    old.child.kill().expect("killed");
+    old.child.wait().expect("ended");
+    new.logged("the old process has ended");
+    let mut client = new.client();
+    client.ask("read", "");
+    assert_eq!(client.answer().status(), 503);
+}
