Ask the guard of serving before a new process takes over, and for signs of life

Cause: Server::run went on two seconds after a node was known, whatever the policy says; the yes of a hand-over and the signs of life to a host went by the flag serving alone. Now both ask may_serve, a new process leaves the old one its place until it is let, and a yes given against the guard is counted (said_serving_unready). The start of a process moved to src/net/starting.rs.

--- a/crates/guard/src/lib.rs
+++ b/crates/guard/src/lib.rs
@@ -14,7 +14,7 @@
 pub use close::{check_closed, may_close, CloseCause, ConnectionFacts, Owed};
 pub use label::Label;
 pub use send::{check_sent, may_send, NodeStanding, RequestState, SendDenied, SendFacts, Sent};
-pub use serve::{may_serve, NotReady, ServeFacts};
+pub use serve::{check_said_serving, may_serve, NotReady, ServeFacts};
 pub use violation::Violation;
 
 /// A point in time or a span, in nanoseconds.
--- a/crates/guard/src/serve.rs
+++ b/crates/guard/src/serve.rs
@@ -1,6 +1,6 @@
 //! May the process take requests now?
 
-use crate::labels;
+use crate::{labels, Violation};
 
 /// What is known of a process that is to serve.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -25,8 +25,7 @@
     }
 }
 
-/// The guard of the words that say "this process serves": health and STATUS. Signs of life to a host and the yes of a hand-over do not
-/// ask it yet.
+/// The guard of the words that say "this process serves": health, STATUS, signs of life to a host and the yes of a hand-over.
 ///
 /// # Errors
 /// Why it must not be said.
@@ -42,3 +41,8 @@
     }
     Ok(())
 }
+
+/// Checks the word that this process serves at the moment in which it is given to whoever then ends the process before it.
+pub fn check_said_serving(facts: &ServeFacts) -> Option<Violation> {
+    may_serve(facts).is_err().then_some(Violation::SaidServingUnready)
+}
--- a/crates/guard/src/violation.rs
+++ b/crates/guard/src/violation.rs
@@ -21,5 +21,7 @@
         EndedUnanswered = "ended_unanswered",
         /// A request was answered later than its client waits, by half a second or more.
         AnsweredLate = "answered_late",
+        /// A process said that it serves in place of another and could not.
+        SaidServingUnready = "said_serving_unready",
     }
 }
--- a/crates/guard/tests/rules.rs
+++ b/crates/guard/tests/rules.rs
@@ -102,6 +102,8 @@
             ServeFacts { node_known: bits & 1 > 0, policy_permits: bits & 2 > 0, draining: bits & 4 > 0 };
         let all = facts.node_known && facts.policy_permits && !facts.draining;
         assert_eq!(may_serve(&facts).is_ok(), all, "{facts:?}");
+        let violation = (!all).then_some(Violation::SaidServingUnready);
+        assert_eq!(check_said_serving(&facts), violation, "{facts:?}");
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -43,6 +43,7 @@
 pub mod signals;
 mod socket;
 mod stalls;
+mod starting;
 pub mod subscription;
 mod tally;
 mod terms;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -11,7 +11,7 @@
 use super::engine::Engine;
 use super::envoy;
 use super::front::Front;
-use super::handover::{self, Found, Keeper, Link, Listening};
+use super::handover::{self, Keeper, Listening};
 use super::hosted::Hosted;
 use super::layers::Layers;
 use super::listening::{self, Place};
@@ -21,6 +21,7 @@
 use super::rollout::Rollout;
 use super::signals::SignalFlag;
 use super::stalls;
+use super::starting::{Beginning, TakeOver};
 use super::trace::{self, Event};
 use super::upstream::Upstreams;
 use super::{BODY_MOST, BUFFER_MOST};
@@ -28,7 +29,7 @@
 use hyper::header::HeaderValue;
 use rushquay_guard::{may_serve, NotReady, ServeFacts};
 use rushquay_handover::{Cold, Holder, Known, Share};
-use rushquay_nodes::{Manner, Members};
+use rushquay_nodes::Manner;
 use rushquay_operate::{Ledger, Standing};
 use rushquay_xds::client::Outage;
 use std::cell::{Cell, RefCell};
@@ -40,7 +41,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, Notify};
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, Instant};
 
 /// Idle connections to nodes are looked at so often.
 const SWEEP_EVERY: Duration = Duration::from_millis(250);
@@ -49,13 +50,6 @@
 const OWN_DESCRIPTORS: usize = 20 + discovery::DESCRIPTORS;
 /// Memory that is no connection's.
 const OWN_MEMORY: usize = 8 << 20;
-/// A process that is to serve looks so often whether it can.
-const SERVE_LOOK: Duration = Duration::from_millis(10);
-/// A new process waits so long for leave before it serves in the old one's place.
-const LEAVE_WITHIN: Duration = Duration::from_secs(2);
-/// Where the old process can't be heard of it has gone by then: the new one has 6 s to say yes, and SIGKILL comes soon after.
-const BESIDE_FOR: Duration = Duration::from_secs(12);
-
 /// A client's settings are read again so often, where the file can't be used: it may be half written.
 const REREAD_MOST: u32 = 10;
 const REREAD_EVERY: Duration = Duration::from_millis(150);
@@ -106,32 +100,10 @@
     let mut stop = std::pin::pin!(stop);
     let mut config = config;
     let whole = Share { sockets: config.sockets, memory: config.memory };
-    let place = handover::meeting_place(config.listen);
-    let found = match &place {
-        Some(place) => handover::look(place, config.listen).await?,
-        None => Found::None,
-    };
-    let (mut share, mut link, mut given, mut cold, mut handed) = (whole, None, None, Vec::new(), None);
-    let listening = match found {
-        Found::Old { listener, offer, link: old } => {
-            share = offer.share;
-            // What the old process was told counts as told to this one.
-            config.known = newer(config.known, offer.list);
-            (given, cold) = (offer.settings, offer.cold);
-            handed = offer.policy.and_then(|text| Handed::read(&text));
-            link = Some(old);
-            Place::Alone(listener)
-        }
-        Found::None => listening::bind(config.listen)?,
-    };
-    let bound = match &listening {
-        Place::Alone(listener) => listener.local_addr(),
-        Place::Beside(_) => {
-            share = whole.kept();
-            Ok(config.listen)
-        }
-    };
-    let bound = bound.map_err(|e| format!("PROXY_LISTEN: {}: {e}", config.listen))?;
+    let meeting = handover::meeting_place(config.listen);
+    let beginning = Beginning::find(&mut config, meeting.as_deref(), whole).await?;
+    let is_beside = beginning.is_beside();
+    let Beginning { listening, bound, share, mut predecessor, inherited } = beginning;
     super::log(format_args!("listening on {bound}"));
     super::account::start();
     trace::start();
@@ -145,7 +117,7 @@
         + config.control.as_ref().map_or(0, |_| control::DESCRIPTORS)
         + config.envoy.as_ref().map_or(0, |_| envoy::DESCRIPTORS)
         + operators.as_ref().map_or(0, |_| admin::DESCRIPTORS)
-        + place.as_ref().map_or(0, |_| handover::DESCRIPTORS);
+        + meeting.as_ref().map_or(0, |_| handover::DESCRIPTORS);
     let descriptors = Descriptors::new(capacity(share, own));
     // Danger: two clocks that were begun round a step of the wall clock differ by that for good, and what one of them dates is compared
     // with what the other does.
@@ -159,12 +131,12 @@
             envoy::follow(source, pools.clone(), me)?;
             Begun { front: Front::Pools(pools), rollout: None, policy: None }
         }
-        None => one(config, clock, descriptors.clone(), ledger.clone(), hangup, handed)?,
+        None => one(config, clock, descriptors.clone(), ledger.clone(), hangup, inherited.policy)?,
     };
     // Danger: a starter that hears of the address takes the process for started, and nothing that may fail comes behind.
     told(bound);
     let left = |c: Cold| ColdLeft { server: c.node, started: c.started, left: c.left };
-    front.take_cold(&cold.into_iter().map(left).collect::<Vec<_>>());
+    front.take_cold(&inherited.cold.into_iter().map(left).collect::<Vec<_>>());
     tokio::task::spawn_local(stalls::watch());
     let sweeper = front.clone();
     tokio::task::spawn_local(async move {
@@ -174,7 +146,7 @@
         }
     });
     // What the old process acts by counts before anybody can be asked.
-    if let (Some(given), Some(rollout)) = (given, &rollout) {
+    if let (Some(given), Some(rollout)) = (inherited.settings, &rollout) {
         rollout.handed(&given);
     }
     let server = Rc::new(Server {
@@ -198,7 +170,7 @@
     server.tell_operators();
     if let Some(socket) = host {
         let lives = server.clone();
-        tokio::task::spawn_local(Hosted::live(socket, move || lives.serving.get()));
+        tokio::task::spawn_local(Hosted::live(socket, move || lives.says_that_it_serves()));
     }
     let watched = server.clone();
     tokio::task::spawn_local(async move {
@@ -209,26 +181,11 @@
             watched.tell_operators();
         }
     });
-    // Danger: what a process accepts before it can serve it takes away from the old one, which could.
-    let beside = matches!(listening, Place::Beside(_));
-    if beside || link.is_some() {
-        tokio::select! {
-            biased;
-            () = &mut stop => return Ok(()),
-            () = server.can_serve() => {}
-            () = ended(&mut link) => super::log("the old process has ended"),
-        }
-        // Danger: without leave it goes by the floor, and refuses what the old one would serve.
-        if let Some(policy) = &server.policy {
-            tokio::select! {
-                biased;
-                () = &mut stop => return Ok(()),
-                answered = timeout(LEAVE_WITHIN, policy.answered()) => {
-                    if answered.is_err() {
-                        super::log("no leave yet: it goes by the floor until it is answered");
-                    }
-                }
-            }
+    if is_beside {
+        match server.wait_to_take_over(&mut stop, &mut predecessor).await {
+            TakeOver::Stopped => return Ok(()),
+            TakeOver::Ready => {}
+            TakeOver::PredecessorGone => predecessor = None,
         }
     }
     let listener = match listening {
@@ -238,22 +195,9 @@
         }
     };
     let listener = Rc::new(listener);
-    let holder = if beside || link.is_some() { Holder::beside(whole, share) } else { Holder::new(whole) };
-    let keeper = Keeper::start(place.as_deref(), listener.clone(), holder, server.clone());
-    let left = keeper.clone();
-    if let Some(mut link) = link {
-        link.ready().await;
-        tokio::task::spawn_local(async move {
-            link.ended().await;
-            super::log("the old process has ended");
-            left.alone();
-        });
-    } else if beside {
-        tokio::task::spawn_local(async move {
-            sleep(BESIDE_FOR).await;
-            left.alone();
-        });
-    }
+    let holder = if is_beside { Holder::beside(whole, share) } else { Holder::new(whole) };
+    let keeper = Keeper::start(meeting.as_deref(), listener.clone(), holder, server.clone());
+    server.succeed(predecessor, is_beside, keeper.clone()).await;
     // Danger: whoever is told yes may at once end the old process, or start the next version. Both must find all ready.
     server.serving.set(true);
     server.tell_operators();
@@ -268,21 +212,6 @@
     Ok(())
 }
 
-async fn ended(link: &mut Option<Link>) {
-    match link {
-        Some(link) => link.ended().await,
-        None => std::future::pending().await,
-    }
-}
-
-/// The later of two lists.
-fn newer(known: Option<Members>, told: Option<Members>) -> Option<Members> {
-    match (known, told) {
-        (Some(known), Some(told)) if known.version > told.version => Some(known),
-        (known, told) => told.or(known),
-    }
-}
-
 /// How many connections there is room for. Danger: each may come to hold a body and what is read ahead of it. So many are
 /// taken as there is memory for, even if all of them do.
 fn capacity(share: Share, own: usize) -> usize {
@@ -364,13 +293,6 @@
 }
 
 impl Server {
-    /// Returns once a request could be served.
-    async fn can_serve(&self) {
-        while !self.front.can_serve() {
-            sleep(SERVE_LOOK).await;
-        }
-    }
-
     /// The number of the next connection.
     pub fn next_connection(&self) -> u64 {
         self.connections.set(self.connections.get() + 1);
@@ -384,18 +306,28 @@
         self.ledger.unavailable.set(avoided as u64);
         self.ledger.stand(match self.readiness() {
             Err(NotReady::Draining) => Standing::Draining,
-            Ok(()) if self.serving.get() => Standing::Serving,
+            Ok(()) if self.says_that_it_serves() => Standing::Serving,
             _ => Standing::Starting,
         });
     }
 
+    /// Whether it says to operators and to its host that it serves.
+    fn says_that_it_serves(&self) -> bool {
+        self.serving.get() && self.readiness().is_ok()
+    }
+
     /// Whether this process may say that it serves, and why not.
     pub fn readiness(&self) -> Result<(), NotReady> {
-        may_serve(&ServeFacts {
+        may_serve(&self.serve_facts())
+    }
+
+    /// What is known of this process, for the guard of serving.
+    pub fn serve_facts(&self) -> ServeFacts {
+        ServeFacts {
             node_known: self.front.can_serve(),
             policy_permits: self.policy.as_ref().is_none_or(|p| p.serves()),
             draining: self.draining.get(),
-        })
+        }
     }
 }
 
