--- a/crates/operate/src/causes.rs
+++ b/crates/operate/src/causes.rs
@@ -34,6 +34,24 @@
     }
 }
 
+labels! {
+    /// Why a request or a connection was turned away before the class of a request was known.
+    pub enum TurnedAway {
+        /// The request could not be parsed.
+        Unparsable = "unparsable",
+        /// Its framing can be read in two ways, or its path is cut.
+        BadFraming = "bad_framing",
+        /// No class has its name.
+        UnknownClass = "unknown_class",
+        /// No route leads anywhere.
+        NoRoute = "no_route",
+        /// A route or its cluster's limits answered it.
+        ByRoute = "by_route",
+        /// The process ended before the connection had a place.
+        NeverLetIn = "never_let_in",
+    }
+}
+
 labels! {
     /// Why a connection to a node ended.
     pub enum NodeCloseCause {
--- a/crates/operate/src/figures.rs
+++ b/crates/operate/src/figures.rs
@@ -25,6 +25,7 @@
     by_label(&mut text, "retries", "after", &ledger.retries);
     by_label(&mut text, "refusals", "after", &ledger.refusals);
     by_label(&mut text, "failures", "after", &ledger.failures);
+    by_label(&mut text, "turned_away", "reason", &ledger.turned_away);
     by_label(&mut text, "attempts_denied", "cause", &ledger.denied);
     by_label(&mut text, "client_closes", "cause", &ledger.closes);
     by_label(&mut text, "node_closes", "cause", &ledger.node_closes);
--- a/crates/operate/src/ledger.rs
+++ b/crates/operate/src/ledger.rs
@@ -1,6 +1,6 @@
 //! The account that each request passes through exactly once at its end, and each attempt when it has been written whole.
 
-use crate::{Cause, NodeCloseCause, Tally};
+use crate::{Cause, NodeCloseCause, Tally, TurnedAway};
 use rushquay_guard::{CloseCause, SendDenied, Violation};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -80,6 +80,8 @@
     pub refusals: Tally<Cause>,
     /// Failed requests, by how their last attempt ended.
     pub failures: Tally<Cause>,
+    /// Requests and connections that were turned away before a class was known, by reason.
+    pub turned_away: Tally<TurnedAway>,
     /// Attempts that were denied at their last look, by reason.
     pub denied: Tally<SendDenied>,
     /// Clients' connections that ended, by reason.
--- a/crates/operate/src/lib.rs
+++ b/crates/operate/src/lib.rs
@@ -9,7 +9,7 @@
 mod waiting;
 
 pub use call::{Call, Line, NotACall, LINE_MOST};
-pub use causes::{Cause, NodeCloseCause};
+pub use causes::{Cause, NodeCloseCause, TurnedAway};
 pub use figures::figures;
 pub use ledger::{Count, End, Entry, Ledger, Standing};
 pub use tally::Tally;
--- a/crates/operate/tests/operate.rs
+++ b/crates/operate/tests/operate.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use rushquay_guard::{CloseCause, Violation};
 use rushquay_operate::{
-    figures, Call, Cause, End, Entry, Ledger, Line, NotACall, Places, Standing, LINE_MOST,
+    figures, Call, Cause, End, Entry, Ledger, Line, NotACall, Places, Standing, TurnedAway, LINE_MOST,
 };
 
 fn names(names: &[&str]) -> Vec<String> {
@@ -58,6 +58,7 @@
     ledger.retries.one_more(Cause::Miss);
     ledger.retries.one_more(Cause::SecondCopy);
     ledger.retries.one_more(Cause::Miss);
+    ledger.turned_away.one_more(TurnedAway::UnknownClass);
     ledger.closes.one_more(CloseCause::Drain);
     ledger.violations.one_more(Violation::ClosedUnanswered);
     let text = figures(&ledger);
@@ -80,6 +81,8 @@
             "proxy_retries_total 3",
             "proxy_refusals_total 0",
             "proxy_failures_total 0",
+            "proxy_turned_away{reason=\"unknown_class\"} 1",
+            "proxy_turned_away_total 1",
             "proxy_attempts_denied_total 0",
             "proxy_client_closes{cause=\"drain\"} 1",
             "proxy_client_closes_total 1",
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -13,6 +13,7 @@
 use hyper::StatusCode;
 use hyper_util::rt::TokioIo;
 use rushquay_guard::{check_closed, may_close, CloseCause, ConnectionFacts, Owed};
+use rushquay_operate::TurnedAway;
 use std::convert::Infallible;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -55,7 +56,10 @@
             let fault = client.intake.fault.take();
             async move {
                 let mut response = match fault {
-                    Some(why) => bad(StatusCode::BAD_REQUEST, why),
+                    Some(why) => {
+                        self.turned_away(client.number, TurnedAway::BadFraming);
+                        bad(StatusCode::BAD_REQUEST, why)
+                    }
                     None => self.respond(request, client).await,
                 };
                 response.body_mut().carry(busy);
@@ -79,6 +83,9 @@
             tokio::select! {
                 biased;
                 ended = connection.as_mut() => {
+                    if ended.as_ref().is_err_and(hyper::Error::is_parse) {
+                        self.turned_away(client.number, TurnedAway::Unparsable);
+                    }
                     self.closed(client, ended_by(client, ended));
                     return;
                 }
--- a/src/net/draining.rs
+++ b/src/net/draining.rs
@@ -5,6 +5,7 @@
 use super::server::Server;
 use super::trace::{self, Event};
 use rushquay_guard::CloseCause;
+use rushquay_operate::TurnedAway;
 use rushquay_sockets::accept_queued;
 use std::convert::Infallible;
 use std::future::Future;
@@ -58,6 +59,8 @@
         }
         self.clients.borrow().iter().for_each(|c| c.end(CloseCause::Drain));
         self.last_answers(end).await;
+        // No number was given to a connection that never had a place.
+        self.waiting.borrow_mut().drain(..).for_each(|_| self.turned_away(0, TurnedAway::NeverLetIn));
         trace::event(|| Event::State { state: "ended" });
     }
 
--- a/src/net/responding.rs
+++ b/src/net/responding.rs
@@ -21,7 +21,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode, Version};
 use rushquay_guard::Violation;
-use rushquay_operate::{Cause, End, Entry};
+use rushquay_operate::{Cause, End, Entry, TurnedAway};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout, Instant};
@@ -85,12 +85,18 @@
         // What is held here lives until the answer has been given, the cluster among it.
         let forward = match self.route(&mut head) {
             Ok(forward) => forward,
-            Err(response) => return *response,
+            Err(response) => {
+                self.turned_away(client.number, TurnedAway::ByRoute);
+                return *response;
+            }
         };
         let engine = match (&self.front, &forward) {
             (_, Some(forward)) => &forward.cluster.engine,
             (Front::One { engine, .. }, None) => engine,
-            (Front::Pools(_), None) => return plain(StatusCode::NOT_FOUND, "no such route"),
+            (Front::Pools(_), None) => {
+                self.turned_away(client.number, TurnedAway::NoRoute);
+                return plain(StatusCode::NOT_FOUND, "no such route");
+            }
         };
         let mut response = self.take(head, body, forward.as_deref(), engine, client, may_ask).await;
         if let Some(forward) = &forward {
@@ -99,6 +105,12 @@
         response
     }
 
+    /// Counts what is turned away before the class of a request is known.
+    pub fn turned_away(&self, connection: u64, reason: TurnedAway) {
+        self.ledger.turned_away.one_more(reason);
+        trace::event(|| Event::TurnedAway { connection, reason });
+    }
+
     /// Where a request goes, where routes say so.
     fn route(&self, head: &mut Parts) -> Result<Option<Box<Forward>>, Box<Response<Body>>> {
         match &self.front {
@@ -123,6 +135,7 @@
         let name = class_of(&head, forward);
         let acting = engine.acting();
         let Some(class) = acting.names.classes.iter().position(|c| c == name) else {
+            self.turned_away(client.number, TurnedAway::UnknownClass);
             return bad(StatusCode::NOT_FOUND, "no such class");
         };
         let policy = self.policy.as_deref();
--- a/src/net/trace.rs
+++ b/src/net/trace.rs
@@ -3,7 +3,7 @@
 
 use crate::api::{ServerId, Status};
 use rushquay_guard::{CloseCause, Label, SendDenied};
-use rushquay_operate::Cause;
+use rushquay_operate::{Cause, TurnedAway};
 use std::cell::Cell;
 use std::fmt;
 use std::io::Write as _;
@@ -27,6 +27,8 @@
     Closed { connection: u64, cause: CloseCause },
     /// A request was read.
     Read { request: &'a str, connection: u64, class: &'a str, left_ms: u64, waited_ms: u64 },
+    /// A request or a connection was turned away before the class of a request was known.
+    TurnedAway { connection: u64, reason: TurnedAway },
     /// An attempt was handed over.
     Attempt { request: &'a str, number: usize, node: ServerId, after: Option<Cause> },
     /// An attempt was denied at its last look.
@@ -57,6 +59,9 @@
                 f,
                 "read request={request} connection={connection} class={class} left_ms={left_ms} waited_ms={waited_ms}"
             ),
+            Event::TurnedAway { connection, reason } => {
+                write!(f, "turned_away connection={connection} reason={}", reason.name())
+            }
             Event::Attempt { request, number, node, after } => {
                 write!(f, "attempt request={request} number={number} node={node:016x} after={}", name(after))
             }
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -209,6 +209,26 @@
     assert_eq!(figure(admin, "proxy_violations_total "), 0);
 }
 
+/// What is turned away before its class is known has its reason too.
+#[test]
+fn what_is_turned_away_is_counted_by_reason() {
+    let (r, admin) = watched(256);
+    let framed_twice =
+        "PUT /set/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    for (request, status, reason) in [
+        (get("nobody", ""), 404, "unknown_class"),
+        (framed_twice.to_owned(), 400, "bad_framing"),
+        ("\u{1}\u{2} nonsense\r\n\r\n".to_owned(), 400, "unparsable"),
+    ] {
+        let mut client = r.proxy.client();
+        client.write(&request);
+        assert_eq!(client.answer().status(), status, "{reason}");
+        until(admin, &format!("proxy_turned_away{{reason=\"{reason}\"}} "), 1);
+    }
+    assert_eq!(figure(admin, "proxy_turned_away_total "), 3);
+    assert_eq!(figure(admin, "proxy_violations_total "), 0);
+}
+
 /// A request can be followed through by its id.
 #[test]
 fn a_trace_tells_what_became_of_a_request_by_its_id() {
