--- a/tests/control/interrupted.rs
+++ b/tests/control/interrupted.rs
@@ -38,3 +38,35 @@
     let opened = metrics.lines().find(|l| l.starts_with("rushquay_control_streams_total"));
     assert!(opened.is_some_and(|l| l.ends_with(" 1")), "{opened:?} streams were opened:\n{metrics}");
 }
+
+/// Danger: a read of the store of leases that is cut short would wait in vain, and the lease run out over it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leader_keeps_its_lease_in_etcd_under_interrupted_calls() {
+    println!("seed {SEED}");
+    let etcd = rushquay_etcd_standin::Etcd::start().await;
+    let folder = super::program::Folder::new("interrupted-etcd");
+    let settings = format!(
+        "[standby]\nname = 'only'\nttl_s = 1.0\netcd = ['{}']\nprefix = '/rushquay'\n",
+        etcd.endpoint()
+    );
+    let settings = folder.write("control.toml", &settings);
+    let fleet = nodes(&["a", "b"]).await;
+    let discovery = Discovery::start(41, &ready(&fleet)).await;
+    let (settings, addr) = (settings.to_str().expect("a path"), discovery.addr.to_string());
+    let faults = Faults::new(SEED, INTERRUPTIONS);
+    let service = Running::with(&["--discovery", &addr, "--config", settings], &faults.variables());
+    let standby = || {
+        let status: Value = serde_json::from_str(&service.get("/status").1).expect("JSON");
+        status["standby"].clone()
+    };
+    until("it leads", || standby()["leads"] == true).await;
+    let begin = Instant::now();
+    while begin.elapsed() < Duration::from_secs(6) {
+        let now = standby();
+        assert_eq!(
+            (&now["leads"], &now["takeovers"], &now["fault"]),
+            (&json!(true), &json!(1), &json!(null))
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
