Dial etcd through the streams that repeat interrupted calls

Cause: crates/etcd/src/client.rs took tonic's own connector, whose reads are the runtime's: an EINTR ends the connection, and a short read waits for an edge that never comes. The connections under gRPC are a crate of their own now (crates/grpc-transport, moved from xds-grpc), and etcd's client dials by it; names are looked up for each connection. Ruled out: the elector and the lease's span, which go on as soon as calls come back. Not played: etcd behind TLS, for which the stand-in has no keys.

--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -1,6 +1,7 @@
 //! Calls of etcd's v3 API.
 
 use prost::Message;
+use rushquay_grpc_transport::DialNamed;
 use std::time::Duration;
 use tonic::client::Grpc;
 use tonic::codegen::http::uri::PathAndQuery;
@@ -32,11 +33,13 @@
         tls: Option<ClientTlsConfig>,
     ) -> Result<Client, tonic::transport::Error> {
         let channel = |uri: &String| {
-            let mut endpoint = Endpoint::from_shared(uri.clone())?.connect_timeout(within).tcp_nodelay(true);
+            let mut endpoint = Endpoint::from_shared(uri.clone())?.connect_timeout(within);
             if let Some(tls) = &tls {
                 endpoint = endpoint.tls_config(tls.clone())?;
             }
-            Ok(endpoint.http2_keep_alive_interval(within).keep_alive_timeout(within).connect_lazy())
+            let endpoint = endpoint.http2_keep_alive_interval(within).keep_alive_timeout(within);
+            // Danger: read by the runtime itself, an answer that comes in parts may be waited for in vain.
+            Ok(endpoint.connect_with_connector_lazy(DialNamed))
         };
         let channels = endpoints.iter().map(channel).collect::<Result<_, tonic::transport::Error>>()?;
         Ok(Client { channels, good: std::sync::atomic::AtomicUsize::new(0), within })
--- a/crates/xds-grpc/src/transport.rs
+++ b/crates/grpc-transport/src/lib.rs
@@ -1,5 +1,8 @@
-//! The connections under gRPC, on both sides: interrupted and short transfers end no stream.
+//! The connections under gRPC, on both sides: interrupted and short transfers end no stream. A crate of its own, since the client of
+//! etcd needs it as well as xDS does.
+#![forbid(unsafe_code)]
 
+use hyper_util::rt::TokioIo;
 use rushquay_sockets::{connect, poll_accept, RetryStream};
 use std::future::Future;
 use std::io::{self, IoSlice};
@@ -8,7 +11,7 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{lookup_host, TcpListener, TcpStream};
 use tokio::time::{sleep, Sleep};
 use tokio_stream::Stream;
 use tonic::codegen::http::Uri;
@@ -99,25 +102,76 @@
     }
 }
 
+/// A client's connection.
+type Dialled = TokioIo<RetryStream<TcpStream>>;
+type Dialling = Pin<Box<dyn Future<Output = io::Result<Dialled>> + Send>>;
+
 /// Dials one server, whatever the address in a request says.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub struct Dial(pub SocketAddr);
 
 impl Service<Uri> for Dial {
-    type Response = hyper_util::rt::TokioIo<RetryStream<TcpStream>>;
+    type Response = Dialled;
+    type Error = io::Error;
+    type Future = Dialling;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, _: Uri) -> Dialling {
+        Box::pin(dial(self.0))
+    }
+}
+
+/// Dials the server that a request's address names; a name is looked up for each connection.
+#[derive(Clone, Copy, Debug)]
+pub struct DialNamed;
+
+impl Service<Uri> for DialNamed {
+    type Response = Dialled;
     type Error = io::Error;
-    type Future = Pin<Box<dyn Future<Output = io::Result<Self::Response>> + Send>>;
+    type Future = Dialling;
 
     fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
 
-    fn call(&mut self, _: Uri) -> Self::Future {
-        let addr = self.0;
+    fn call(&mut self, uri: Uri) -> Dialling {
         Box::pin(async move {
-            let stream = connect(addr).await.map_err(io::Error::from)?;
-            let _ = stream.set_nodelay(true);
-            Ok(hyper_util::rt::TokioIo::new(RetryStream::new(stream)))
+            let host = uri.host().ok_or_else(|| invalid(&uri))?;
+            let port = uri.port_u16().or_else(|| default_port(&uri)).ok_or_else(|| invalid(&uri))?;
+            // An address of IPv6 stands in brackets in a URI.
+            let host = host.trim_start_matches('[').trim_end_matches(']');
+            let mut last = io::Error::new(io::ErrorKind::NotFound, format!("{host}: no address"));
+            for addr in lookup_host((host, port)).await? {
+                match dial(addr).await {
+                    Ok(dialled) => return Ok(dialled),
+                    Err(e) => last = e,
+                }
+            }
+            Err(last)
         })
     }
 }
+
+fn invalid(uri: &Uri) -> io::Error {
+    io::Error::new(
+        io::ErrorKind::InvalidInput,
+        format!("{uri}: expected a host, as in http://127.0.0.1:2379"),
+    )
+}
+
+fn default_port(uri: &Uri) -> Option<u16> {
+    match uri.scheme_str()? {
+        "https" => Some(443),
+        "http" => Some(80),
+        _ => None,
+    }
+}
+
+async fn dial(addr: SocketAddr) -> io::Result<Dialled> {
+    let stream = connect(addr).await.map_err(io::Error::from)?;
+    let _ = stream.set_nodelay(true);
+    Ok(TokioIo::new(RetryStream::new(stream)))
+}
--- a/crates/xds-grpc/src/client.rs
+++ b/crates/xds-grpc/src/client.rs
@@ -1,10 +1,10 @@
 //! The subscriber's sockets: one stream after another, as a [`Session`] says.
 
 use crate::server::{STANDS_BY, TIME};
-use crate::transport::Dial;
 use crate::{convert, Tls};
 use envoy_types::pb::envoy::config::core::v3::Node;
 use envoy_types::pb::envoy::service::discovery::v3::aggregated_discovery_service_client::AggregatedDiscoveryServiceClient;
+use rushquay_grpc_transport::Dial;
 use rushquay_xds::client::{Ask, Ended, Session, Topic};
 use rushquay_xds::server::Variant;
 use rushquay_xds::Nanos;
--- a/crates/xds-grpc/src/lib.rs
+++ b/crates/xds-grpc/src/lib.rs
@@ -8,7 +8,6 @@
 mod hub;
 mod server;
 mod tls;
-mod transport;
 
 pub use client::{run, ClientOptions, Notice};
 pub use envoy_types::pb::envoy::config::core::v3::Node;
--- a/crates/xds-grpc/src/server.rs
+++ b/crates/xds-grpc/src/server.rs
@@ -1,7 +1,6 @@
 //! The gRPC services: ADS, CDS and EDS, each state-of-the-world and delta.
 
 use crate::hub::{Hub, Place};
-use crate::transport::Incoming;
 use crate::{convert, Tls};
 use envoy_types::pb::envoy::config::core::v3::Node;
 use envoy_types::pb::envoy::service::cluster::v3::cluster_discovery_service_server::{
@@ -16,6 +15,7 @@
 use envoy_types::pb::envoy::service::endpoint::v3::endpoint_discovery_service_server::{
     EndpointDiscoveryService, EndpointDiscoveryServiceServer,
 };
+use rushquay_grpc_transport::Incoming;
 use rushquay_xds::client::Topic;
 use rushquay_xds::server::{Answer, Heard, Stream as Machine, StreamError, Variant};
 use rushquay_xds::Kind;
