Add failing tests of changes that a failing disk did not keep

Crossings of a step of a change with a disk that fails for a while and a kill, found by reading keep_board and not_kept. Measured: a change in stages whose operator was told 507 is begun by the next process, since a write whose sync fails may stand all the same; and one failed sync under a proposal of policy has the control service say 'mend it and restart' and give nobody leave from then on.

--- a/tests/control/failing_disk.rs
+++ b/tests/control/failing_disk.rs
@@ -104,3 +104,99 @@
     assert!(text.contains("node a"), "{text}");
     assert!(status(&next)["state"]["fault"].is_null());
 }
+
+/// A control service whose disk the test can have fail.
+struct Keeping {
+    file: File,
+    switch: Switch,
+    discovery: Discovery,
+    _folder: super::program::Folder,
+    settings: PathBuf,
+    rules: &'static str,
+}
+
+impl Keeping {
+    async fn new(name: &str, settings: &str, rules: &'static str) -> Self {
+        println!("seed {SEED}, {rules}");
+        let folder = super::program::Folder::new(&format!("failing-{name}"));
+        let settings = folder.write("control.toml", settings);
+        let fleet = nodes(&["a"]).await;
+        let discovery = Discovery::start(41, &ready(&fleet)).await;
+        let (file, switch) = (File::new(&format!("failing-{name}")), Switch::new(name));
+        Keeping { file, switch, discovery, _folder: folder, settings, rules }
+    }
+
+    /// Starts the service, or its next process.
+    async fn start(&self) -> Running {
+        let text = |path: &Path| path.to_str().expect("a path").to_owned();
+        let (addr, state, settings) =
+            (self.discovery.addr.to_string(), text(&self.file.0), text(&self.settings));
+        let args = ["--discovery", &addr, "--state", &state, "--config", &settings];
+        let faults = Faults::new(SEED, self.rules).while_exists(&self.switch.0);
+        let service = Running::with(&args, &faults.variables());
+        until("it has the list", || status(&service)["open"] == true).await;
+        service
+    }
+
+    /// Asks for something while the disk fails, then kills the service once the disk has worked again for a while, and starts the next.
+    async fn refused_then_killed(&self, path: &str, ask: &Value) -> Running {
+        let service = self.start().await;
+        self.switch.on();
+        let (said, body) = post(&service, path, ask).await;
+        assert_eq!(said, 507, "{body}");
+        self.switch.off();
+        // Nobody does anything; the service looks at its changes ten times a second.
+        until("the file is whole", || status(&service)["state"]["fault"].is_null()).await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let shown = shown(&service, path);
+        assert_eq!((&shown["fault"], &shown["change"]), (&Value::Null, &Value::Null), "{shown:#}");
+        service.signal("-KILL");
+        drop(service);
+        self.start().await
+    }
+}
+
+async fn post(service: &Running, path: &str, ask: &Value) -> (u16, Value) {
+    let asked =
+        rushquay_harness::call(service.admin, hyper::Method::POST, path, Some("*"), Some(ask.clone()));
+    asked.await.expect("an answer")
+}
+
+fn shown(service: &Running, path: &str) -> Value {
+    serde_json::from_str(&service.get(path).1).expect("JSON")
+}
+
+fn settings_for_reads() -> Value {
+    json!({"categories": [{"name": "read", "promise_ns": 900_000_000u64}]})
+}
+
+/// Danger: a write whose sync fails may stand in the file all the same. A change that its operator was told is not begun would be begun by
+/// the next process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_that_was_not_kept_is_not_begun_by_the_next_process() {
+    let keeping = Keeping::new("change", "[rollout]\nlook_ms = 100\n", "sync:EIO=1").await;
+    let plan = json!({"stages": [{"count": 1}], "soak_s": 1.0, "confirm_s": 10.0, "patience_s": 30.0,
+                      "limit_s": 60.0});
+    let ask = json!({"settings": settings_for_reads(), "plan": plan, "author": "asha", "reason": "a test",
+                     "displace": true});
+    let next = keeping.refused_then_killed("/v1/rollout", &ask).await;
+    let stands = shown(&next, "/v1/rollout");
+    assert_eq!(stands["change"], Value::Null, "{stands:#}");
+    // What can be kept is begun.
+    let (said, body) = post(&next, "/v1/rollout", &ask).await;
+    assert_eq!(said, 201, "{body}");
+}
+
+/// The same of a change of policy: neither is it made, nor does nobody have leave from then on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_policy_that_was_not_kept_is_not_made_and_ends_no_leave() {
+    for (name, rules) in [("policy-sync", "sync:EIO=1"), ("policy-all", "sync:EIO=1;write:EIO=1")] {
+        let keeping = Keeping::new(name, "[policy]\nlook_ms = 100\n", rules).await;
+        let ask = json!({"settings": settings_for_reads(), "author": "asha", "reason": "a test"});
+        let next = keeping.refused_then_killed("/v1/policy", &ask).await;
+        let stands = shown(&next, "/v1/policy");
+        assert_eq!((&stands["revision"], &stands["change"]), (&json!(0), &Value::Null), "{stands:#}");
+        let (said, body) = post(&next, "/v1/policy", &ask).await;
+        assert_eq!(said, 201, "{body}");
+    }
+}
