Write what holds again where a failing disk left a change in doubt

Cause: Rollout::keep_board took a failed write for one that stands nowhere; Policies::not_kept read the store back at once, and where the disk still failed gave up for good. Now both remember the doubt and write what holds again at the next look, until that succeeds; nobody was told of the other. KeepError says by type what is known of a failed write. Ruled out: adopting what stands, since a failed sync does not say that it will stand; overrides, which are owed from memory.

--- a/crates/control-service/src/keeper.rs
+++ b/crates/control-service/src/keeper.rs
@@ -42,11 +42,6 @@
     /// # Errors
     /// The same.
     fn keep_records(&self, change: &RecordChange) -> Result<(), SharedError>;
-    /// Reads records of other parts.
-    ///
-    /// # Errors
-    /// The store can't be read.
-    fn read_records(&self) -> Result<Records, SharedError>;
     /// Reads node knowledge.
     ///
     /// # Errors
@@ -70,22 +65,29 @@
     fn keep_records(&self, change: &RecordChange) -> Result<(), SharedError> {
         self.store.keep_records(self.held, change)
     }
-    fn read_records(&self) -> Result<Records, SharedError> {
-        self.store.load_records()
-    }
     fn saved(&self) -> Result<Saved, SharedError> {
         Ok(self.store.load(Policy::default())?.0)
     }
 }
 
+/// What is known of a write that did not go well.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeepFailure {
+    /// There is no store: nothing of it stands anywhere.
+    NoStore,
+    /// Another instance leads, or soon will: it never will be kept.
+    Fenced,
+    /// No answer came: it may yet come to be kept.
+    Unsure,
+    /// The store failed: a part of it, or all, may stand there.
+    Failed,
+}
+
 /// Why something is not kept.
 #[derive(Clone, Debug)]
 pub struct KeepError {
     pub why: String,
-    /// Another instance leads, or soon will: it never will be.
-    pub fenced: bool,
-    /// It is not known whether it is, and it may yet come to be.
-    pub unsure: bool,
+    pub failure: KeepFailure,
 }
 
 /// How the file stands, for the admin page.
@@ -187,27 +189,20 @@
         self.at_once(|store| store.keep_records(change))
     }
 
-    /// The records of other parts as they stand in the store.
-    ///
-    /// # Errors
-    /// Why they can't be read.
-    pub fn records(&self) -> Result<Records, String> {
-        match &self.store {
-            Some(store) => store.read_records().map_err(|e| e.to_string()),
-            None => Err(self.state().fault.unwrap_or_default()),
-        }
-    }
-
     fn at_once(&self, keeps: impl FnOnce(&dyn Durable) -> Result<(), SharedError>) -> Result<(), KeepError> {
-        let fault = |e: SharedError| KeepError {
-            fenced: matches!(e, SharedError::Fenced(_)),
-            unsure: matches!(e, SharedError::Unreachable(_)),
-            why: e.to_string(),
+        let fault = |e: SharedError| {
+            let failure = match e {
+                SharedError::Fenced(_) => KeepFailure::Fenced,
+                SharedError::Unreachable(_) => KeepFailure::Unsure,
+                SharedError::State(_) => KeepFailure::Failed,
+            };
+            KeepError { why: e.to_string(), failure }
         };
         match &self.store {
             Some(store) => keeps(&**store).map_err(fault),
             None => {
-                Err(KeepError { why: self.state().fault.unwrap_or_default(), fenced: false, unsure: false })
+                let why = self.state().fault.unwrap_or_default();
+                Err(KeepError { why, failure: KeepFailure::NoStore })
             }
         }
     }
--- a/crates/control-service/src/policy.rs
+++ b/crates/control-service/src/policy.rs
@@ -1,7 +1,7 @@
 //! Changes of policy, driven: proxies ask for leave, the coordinator decides, each step is kept, and only then told
 //! (`docs/design-policy.md`).
 
-use crate::keeper::{KeepError, Records};
+use crate::keeper::{KeepError, KeepFailure, Records};
 use crate::shared::{Denied, Shared};
 use rushquay_policy::{
     Ask, Boot, Coordinator, Floor, Holding, Number, Policy, Record, Refusal, Revision, Shelf, Told,
@@ -95,6 +95,8 @@
     /// Who was waited for when it was last looked.
     held_up: BTreeSet<String>,
     outage: Outage,
+    /// A write of the record failed: what stands in the store is not known until it is written again.
+    doubtful: bool,
 }
 
 /// Policies and who may act by them.
@@ -143,6 +145,7 @@
             fault: Some("this instance has not led yet".into()),
             held_up: BTreeSet::new(),
             outage: Outage::default(),
+            doubtful: false,
         };
         Policies { settings, state: Mutex::new(state), turn: Mutex::new(()) }
     }
@@ -164,6 +167,7 @@
                 state.shelf = Shelf::lead(policies, floor, &kept.record, now);
                 state.coordinator = Coordinator::lead(self.settings.terms(), kept.record, now);
                 (state.stood, state.acted, state.fault) = (kept.stood, acted, None);
+                state.doubtful = false;
                 let record = state.coordinator.record();
                 info!(revision = record.revision.0, told = ?record.told(), "leading policies on");
             }
@@ -219,6 +223,7 @@
             // Danger: where the store takes nothing, a decision waits; leaves for what holds go on all the same.
             let _ = self.keep(shared, record, None);
         }
+        self.keep_in_doubt(shared);
         if !useless.is_empty() {
             let gone = useless.iter().map(|n| format!("{POLICIES}{}", n.0)).collect();
             if shared.keep_records(&RecordChange { set: BTreeMap::new(), gone }).is_ok() {
@@ -256,6 +261,7 @@
         let now = shared.clock.steady();
         let state = &mut *lock(&self.state);
         state.outage.over();
+        state.doubtful = false;
         if let (Some(policy), Some(number)) = (new, number) {
             state.shelf.put(number, policy);
         }
@@ -276,34 +282,30 @@
             if let Some(n) = state.outage.failed(&e.why) {
                 warn!(fault = %e.why, failure = n, "a step of a change of policy is not kept");
             }
+            state.doubtful = matches!(e.failure, KeepFailure::Unsure | KeepFailure::Failed);
         }
-        if e.unsure {
+        if e.failure == KeepFailure::Unsure {
             shared.step_aside();
-            let why = format!("{}; whether it stands is for the next leader to find: look again", e.why);
-            return Denied::NotKept(why);
         }
-        if !e.fenced {
-            let stands = shared.keeper().map_or(Err("nothing is kept".into()), |k| k.records());
-            let stands = stands.and_then(|records| read(&records));
-            let now = shared.clock.steady();
+        Denied::not_kept(e)
+    }
+
+    /// Writes the record that holds once more where a write of another failed: nobody was told of that one.
+    fn keep_in_doubt(&self, shared: &Shared) {
+        let kept = {
+            let state = lock(&self.state);
+            let record = || Kept { record: state.coordinator.record().clone(), stood: state.stood.clone() };
+            state.doubtful.then(record)
+        };
+        let Some(kept) = kept else { return };
+        let written = serde_json::to_value(&kept).unwrap_or_default();
+        let set = BTreeMap::from([(HOLDS.to_owned(), written)]);
+        // What is not kept is tried again at the next look.
+        if shared.keep_records(&RecordChange { set, gone: Vec::new() }).is_ok() {
             let state = &mut *lock(&self.state);
-            match stands {
-                Ok((kept, policies, _)) if kept.record != *state.coordinator.record() => {
-                    policies.into_iter().for_each(|(n, p)| state.shelf.put(n, p));
-                    state.shelf.moved(&kept.record);
-                    state.coordinator.kept(kept.record, now);
-                    state.stood = kept.stood;
-                }
-                Ok(_) => {}
-                // Whoever leads next can read it; alone, this one can't go on without.
-                Err(_) if shared.standby.is_some() => shared.step_aside(),
-                Err(why) => {
-                    state.fault =
-                        Some(format!("what stands in the store can't be read: {why}; mend it and restart"));
-                }
-            }
+            state.outage.over();
+            state.doubtful = false;
         }
-        Denied::NotKept(e.why.clone())
     }
 
     /// Answers who has asked.
--- a/crates/control-service/src/reopening.rs
+++ b/crates/control-service/src/reopening.rs
@@ -4,7 +4,7 @@
 //! the disk. A disk that fails for a while (EIO, ENOSPC, a failed sync) must not end the keeping, so the store is closed, and the next
 //! call opens it again and reads what the disk really holds.
 
-use crate::keeper::{Durable, Records};
+use crate::keeper::Durable;
 use rushquay_state::{BookChange, Change, RecordChange, Saved, SharedError, StateError, StateStore};
 use std::path::{Path, PathBuf};
 use std::sync::{Mutex, PoisonError};
@@ -50,10 +50,6 @@
         self.with(|store| store.keep_records(change))
     }
 
-    fn read_records(&self) -> Result<Records, SharedError> {
-        self.with(StateStore::read_records)
-    }
-
     fn saved(&self) -> Result<Saved, SharedError> {
         self.with(StateStore::read)
     }
--- a/crates/control-service/src/rollout.rs
+++ b/crates/control-service/src/rollout.rs
@@ -1,6 +1,6 @@
 //! Changes in stages, driven: reports come in, the board decides, each step is kept, and then handed out.
 
-use crate::keeper::{KeepError, Records};
+use crate::keeper::{KeepError, KeepFailure, Records};
 use crate::shared::{Denied, Shared};
 use rushquay_generation::{Assignment, Digest};
 use rushquay_host::HostReport;
@@ -131,6 +131,8 @@
     /// What the evidence said last, for people.
     verdict: String,
     looked: Nanos,
+    /// A write of the board failed: what stands in the store is not known until it is written again.
+    doubtful: bool,
     /// Why nothing is decided or handed out; `None`: it is.
     fault: Option<String>,
     outage: Outage,
@@ -190,6 +192,7 @@
             declared: BTreeMap::new(),
             verdict: String::new(),
             looked: 0,
+            doubtful: false,
             fault: Some("this instance has not led yet".into()),
             outage: Outage::default(),
         };
@@ -224,6 +227,7 @@
         state.course = Course::default();
         (state.kept, state.declared, state.looked) = (kept, BTreeMap::new(), now);
         state.hosts = BTreeMap::new();
+        state.doubtful = false;
         state.verdict = "this instance leads since a moment".into();
         match board {
             Ok(board) => {
@@ -305,6 +309,7 @@
                 return;
             }
         }
+        self.keep_in_doubt(shared, now);
         self.keep_roster(shared, now);
         self.declare(shared);
     }
@@ -314,20 +319,45 @@
         let record = serde_json::to_value(board.record()).unwrap_or_default();
         let change = RecordChange { set: BTreeMap::from([(BOARD.to_owned(), record)]), gone: Vec::new() };
         let kept = shared.keep_records(&change);
-        let state = &mut *lock(&self.state);
-        if let Err(KeepError { why, .. }) = kept {
-            if let Some(n) = state.outage.failed(&why) {
-                warn!(fault = %why, failure = n, "a step of a change is not kept: it is not made");
-            }
-            return Err(Denied::NotKept(why));
+        if let Err(e) = kept {
+            return Err(self.not_kept(shared, &e));
         }
+        let state = &mut *lock(&self.state);
         state.outage.over();
+        state.doubtful = false;
         // Its lease may have ended meanwhile: whoever leads next finds the step and makes it.
         shared.must_lead()?;
         state.moved_on(board, now);
         Ok(())
     }
 
+    /// A step is not kept, or may be. Danger: taken for not kept, what stands in the store would be begun by the next process.
+    fn not_kept(&self, shared: &Shared, e: &KeepError) -> Denied {
+        {
+            let state = &mut *lock(&self.state);
+            if let Some(n) = state.outage.failed(&e.why) {
+                warn!(fault = %e.why, failure = n, "a step of a change is not kept: it is not made");
+            }
+            state.doubtful = matches!(e.failure, KeepFailure::Unsure | KeepFailure::Failed);
+        }
+        if e.failure == KeepFailure::Unsure {
+            shared.step_aside();
+        }
+        Denied::not_kept(e)
+    }
+
+    /// Writes the board that holds once more where a write of another failed.
+    fn keep_in_doubt(&self, shared: &Shared, now: Nanos) {
+        let board = {
+            let state = lock(&self.state);
+            state.doubtful.then(|| state.board.clone())
+        };
+        if let Some(board) = board {
+            // What is not kept is tried again at the next look.
+            let _ = self.keep_board(shared, board, now);
+        }
+    }
+
     /// Keeps what has changed of the instances, and forgets those that are gone for good.
     fn keep_roster(&self, shared: &Shared, now: Nanos) {
         let (change, told) = {
--- a/crates/control-service/src/shared.rs
+++ b/crates/control-service/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the parts of the service share: the source's news go in, commands of operators go in, the hub hands out. With a
 //! standby configured it does so only while it leads.
 
-use crate::keeper::{Durable, KeepError, Keeper, Records};
+use crate::keeper::{Durable, KeepError, KeepFailure, Keeper, Records};
 use crate::policy::{NotDone, Policies};
 use crate::rollout::Rollout;
 use crate::settings::Settings;
@@ -65,6 +65,21 @@
     NotKept(String),
 }
 
+impl Denied {
+    /// Something was not kept, as far as that is known.
+    pub(crate) fn not_kept(e: &KeepError) -> Self {
+        Denied::NotKept(match e.failure {
+            KeepFailure::NoStore | KeepFailure::Fenced => e.why.clone(),
+            KeepFailure::Unsure => {
+                format!("{}; whether it stands is for the next leader to find: look again", e.why)
+            }
+            KeepFailure::Failed => {
+                format!("{}; what held before is written again once the store works: look again", e.why)
+            }
+        })
+    }
+}
+
 /// What the parts share.
 pub struct Shared {
     /// The subscribers' side.
@@ -329,7 +344,7 @@
         match kept {
             Ok(()) => None,
             Err(e) => {
-                if let (true, Some(standby)) = (e.fenced, &self.standby) {
+                if let (KeepFailure::Fenced, Some(standby)) = (e.failure, &self.standby) {
                     self.hub.stand_by();
                     standby.fenced();
                 }
@@ -373,7 +388,7 @@
         // One at a time, in the order of the book.
         let mut kept = lock(&self.kept_events);
         let Some(keeper) = self.keeper() else {
-            return Err(KeepError { why: "no --state file is given".into(), fenced: false, unsure: false });
+            return Err(KeepError { why: "no --state file is given".into(), failure: KeepFailure::NoStore });
         };
         let (change, last) = {
             let book = self.book();
@@ -412,7 +427,7 @@
     pub(crate) fn keep_records(&self, change: &RecordChange) -> Result<(), KeepError> {
         let Some(keeper) = self.keeper() else {
             let why = "no --state file and no [standby] is given: a change would not outlive this process";
-            return Err(KeepError { why: why.into(), fenced: false, unsure: false });
+            return Err(KeepError { why: why.into(), failure: KeepFailure::NoStore });
         };
         let kept = keeper.keep_records(change);
         self.book_kept(kept.clone());
--- a/tests/control/failing_disk.rs
+++ b/tests/control/failing_disk.rs
@@ -139,8 +139,10 @@
     }
 
     /// Asks for something while the disk fails, then kills the service once the disk has worked again for a while, and starts the next.
-    async fn refused_then_killed(&self, path: &str, ask: &Value) -> Running {
+    /// Gives the revision from before the ask too.
+    async fn refused_then_killed(&self, path: &str, ask: &Value) -> (Value, Running) {
         let service = self.start().await;
+        let before = shown(&service, path)["revision"].clone();
         self.switch.on();
         let (said, body) = post(&service, path, ask).await;
         assert_eq!(said, 507, "{body}");
@@ -149,10 +151,11 @@
         until("the file is whole", || status(&service)["state"]["fault"].is_null()).await;
         tokio::time::sleep(Duration::from_secs(1)).await;
         let shown = shown(&service, path);
-        assert_eq!((&shown["fault"], &shown["change"]), (&Value::Null, &Value::Null), "{shown:#}");
+        let stands = (&shown["fault"], &shown["change"], &shown["revision"]);
+        assert_eq!(stands, (&Value::Null, &Value::Null, &before), "{shown:#}");
         service.signal("-KILL");
         drop(service);
-        self.start().await
+        (before, self.start().await)
     }
 }
 
@@ -179,9 +182,9 @@
                       "limit_s": 60.0});
     let ask = json!({"settings": settings_for_reads(), "plan": plan, "author": "asha", "reason": "a test",
                      "displace": true});
-    let next = keeping.refused_then_killed("/v1/rollout", &ask).await;
+    let (before, next) = keeping.refused_then_killed("/v1/rollout", &ask).await;
     let stands = shown(&next, "/v1/rollout");
-    assert_eq!(stands["change"], Value::Null, "{stands:#}");
+    assert_eq!((&stands["revision"], &stands["change"]), (&before, &Value::Null), "{stands:#}");
     // What can be kept is begun.
     let (said, body) = post(&next, "/v1/rollout", &ask).await;
     assert_eq!(said, 201, "{body}");
@@ -193,9 +196,9 @@
     for (name, rules) in [("policy-sync", "sync:EIO=1"), ("policy-all", "sync:EIO=1;write:EIO=1")] {
         let keeping = Keeping::new(name, "[policy]\nlook_ms = 100\n", rules).await;
         let ask = json!({"settings": settings_for_reads(), "author": "asha", "reason": "a test"});
-        let next = keeping.refused_then_killed("/v1/policy", &ask).await;
+        let (before, next) = keeping.refused_then_killed("/v1/policy", &ask).await;
         let stands = shown(&next, "/v1/policy");
-        assert_eq!((&stands["revision"], &stands["change"]), (&json!(0), &Value::Null), "{stands:#}");
+        assert_eq!((&stands["revision"], &stands["change"]), (&before, &Value::Null), "{stands:#}");
         let (said, body) = post(&next, "/v1/policy", &ask).await;
         assert_eq!(said, 201, "{body}");
     }
--- a/tests/control/interrupted.rs
+++ b/tests/control/interrupted.rs
@@ -59,7 +59,7 @@
         let status: Value = serde_json::from_str(&service.get("/status").1).expect("JSON");
         status["standby"].clone()
     };
-    until("it leads", || standby()["leads"] == true).await;
+    until("it leads", || standby()["takeovers"] == 1).await;
     let begin = Instant::now();
     while begin.elapsed() < Duration::from_secs(6) {
         let now = standby();
