--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -112,6 +112,23 @@
     assert_eq!(faulty.figure("proxy_completed{lane=\"read\"}"), 240);
 }
 
+/// Danger: a machine that is short of buffers would have its connections end under their requests, or its clients taken for gone.
+#[test]
+fn a_shortage_of_buffers_under_reads_and_writes_loses_no_request() {
+    let rules = "recv:ENOMEM=0.2;recv:ENOBUFS=0.1;send:ENOBUFS=0.2;send:ENOMEM=0.1;poll:EINTR=0.05";
+    let faulty = Faulty::start("buffers", rules);
+    for connection in 0..20 {
+        let mut client = faulty.proxy.client();
+        for n in 0..5 {
+            let id = format!("b{connection}-{n}");
+            client.write(&get_as(&id, "read", "X-Time-Left: 2.0\r\n"));
+            let answer = client.answer();
+            assert_eq!((answer.status(), String::from_utf8_lossy(&answer.body).as_ref()), (200, id.as_str()));
+        }
+    }
+    assert_eq!(faulty.figure("proxy_violations_total"), 0);
+}
+
 /// Danger: the interim answer that asks whether a client is still there would be cut short, and what follows it be no answer.
 #[test]
 fn a_client_that_has_ended_its_sending_reads_whole_answers() {
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -97,53 +97,87 @@
     std::fs::read_dir(format!("/proc/{}/fd", proxy.child.id())).expect("its descriptors").count()
 }
 
+/// A process that ends, with a table of connections that is full of requests that hang and of half heads.
+struct FullTable {
+    proxy: Proxy,
+    hung: Vec<(Peer, Peer)>,
+    _halves: Vec<Peer>,
+    answering: std::thread::JoinHandle<()>,
+}
+
+impl FullTable {
+    /// It has been told to end.
+    fn ending() -> Self {
+        let (cache, discovery) = (Server::new(), Server::new());
+        let mut small = config(discovery.addr, &[member("c1", cache.addr, "std", "ready")]);
+        // Eight descriptors, half of them for clients.
+        small["limits"]["sockets"] = serde_json::json!(32);
+        for class in small["settings"]["categories"].as_array_mut().expect("classes") {
+            class["deadline_ns"] = serde_json::json!(2_000_000_000u64);
+        }
+        let mut proxy = Proxy::new(&small);
+        discovery.take().request();
+        let mut hung: Vec<(Peer, Peer)> = Vec::new();
+        for _ in 0..2 {
+            let mut client = proxy.client();
+            client.ask("order", "");
+            let mut node = cache.take();
+            node.request();
+            hung.push((client, node));
+        }
+        let mut halves: Vec<Peer> = (0..2).map(|_| proxy.client()).collect();
+        halves.iter_mut().for_each(|half| half.write("GET /read/1 HTTP/1.1\r\nHost:"));
+        // They have been read.
+        std::thread::sleep(std::time::Duration::from_millis(100));
+        proxy.signal("-TERM");
+        proxy.logged("draining");
+        let answering = std::thread::spawn(move || {
+            while let Ok(stream) = cache.taken.recv_timeout(std::time::Duration::from_secs(3)) {
+                let mut node = Peer::new(stream);
+                std::thread::spawn(move || {
+                    while node.read().is_some() {
+                        node.reply("200 OK", "X-Lookup: hit\r\n", "");
+                    }
+                });
+            }
+        });
+        FullTable { proxy, hung, _halves: halves, answering }
+    }
+
+    /// All of these clients have an answer, and so have those from before.
+    fn answers(mut self, new: Vec<Peer>) {
+        for (n, mut client) in new.into_iter().enumerate() {
+            let answer = client.read().unwrap_or_else(|| panic!("no answer to client {n}"));
+            assert!(answer.status() >= 200, "client {n}");
+        }
+        for (client, _) in &mut self.hung {
+            assert!(client.answer().status() >= 200);
+        }
+        assert_eq!(self.proxy.child.wait().expect("ended").code(), Some(0));
+        self.answering.join().expect("done");
+    }
+}
+
 /// Danger: with its table full of requests that hang and of halves, a process that ends would close new connections unanswered.
 #[test]
 fn new_connections_round_a_stop_are_answered_though_the_table_is_full() {
-    let (cache, discovery) = (Server::new(), Server::new());
-    let mut small = config(discovery.addr, &[member("c1", cache.addr, "std", "ready")]);
-    // Eight descriptors, half of them for clients.
-    small["limits"]["sockets"] = serde_json::json!(32);
-    for class in small["settings"]["categories"].as_array_mut().expect("classes") {
-        class["deadline_ns"] = serde_json::json!(2_000_000_000u64);
-    }
-    let mut proxy = Proxy::new(&small);
-    discovery.take().request();
-    let mut hung: Vec<(Peer, Peer)> = Vec::new();
-    for _ in 0..2 {
-        let mut client = proxy.client();
+    let table = FullTable::ending();
+    let mut new: Vec<Peer> = (0..6).map(|_| table.proxy.client()).collect();
+    for client in &mut new {
         client.ask("order", "");
-        let mut node = cache.take();
-        node.request();
-        hung.push((client, node));
     }
-    let mut halves: Vec<Peer> = (0..2).map(|_| proxy.client()).collect();
-    halves.iter_mut().for_each(|half| half.write("GET /read/1 HTTP/1.1\r\nHost:"));
-    // They have been read.
-    std::thread::sleep(std::time::Duration::from_millis(100));
-    proxy.signal("-TERM");
-    proxy.logged("draining");
-    let mut new: Vec<Peer> = (0..6).map(|_| proxy.client()).collect();
+    table.answers(new);
+}
+
+/// Danger: one that has just connected would be closed for the next one that does, before its request can come.
+#[test]
+fn new_connections_round_a_stop_that_ask_a_moment_later_are_answered_too() {
+    let table = FullTable::ending();
+    let mut new: Vec<Peer> = (0..6).map(|_| table.proxy.client()).collect();
+    // Far less than a client may take.
+    std::thread::sleep(std::time::Duration::from_millis(50));
     for client in &mut new {
         client.ask("order", "");
     }
-    let answering = std::thread::spawn(move || {
-        while let Ok(stream) = cache.taken.recv_timeout(std::time::Duration::from_secs(3)) {
-            let mut node = Peer::new(stream);
-            std::thread::spawn(move || {
-                while node.read().is_some() {
-                    node.reply("200 OK", "X-Lookup: hit\r\n", "");
-                }
-            });
-        }
-    });
-    for (n, client) in new.iter_mut().enumerate() {
-        let answer = client.read().unwrap_or_else(|| panic!("no answer to client {n}"));
-        assert!(answer.status() >= 200, "client {n}");
-    }
-    for (client, _) in &mut hung {
-        assert!(client.answer().status() >= 200);
-    }
-    assert_eq!(proxy.child.wait().expect("ended").code(), Some(0));
-    answering.join().expect("done");
+    table.answers(new);
 }
