--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -7,6 +7,8 @@
 const MILLI: Nanos = 1_000_000;
 /// A connection that has just come is about to ask.
 pub const SOON: Nanos = 500 * MILLI;
+/// A connection that has come within this time is not sent away for another: its request is on its way.
+pub const JUST_CAME: Nanos = 100 * MILLI;
 /// Who has begun a request and sent nothing for so long has stopped. Danger: a slow client sends in pieces, and a shorter span
 /// would take its pauses for the end.
 pub const STOPPED: Nanos = 1200 * MILLI;
@@ -55,6 +57,11 @@
             (false, _) => Doing::Idle,
         }
     }
+
+    /// Whether it has come so lately that its first request may be on its way.
+    fn just_came(&self, now: Nanos) -> bool {
+        self.asked == 0 && !self.begun && now.saturating_sub(self.since) < JUST_CAME
+    }
 }
 
 /// Why room is wanted.
@@ -92,3 +99,14 @@
     order.sort_by_key(|&n| (rank(n), connections[n].moved.max(connections[n].since), n));
     order
 }
+
+/// The connections that give way now, the first one first: those of [`order`] up to the first that has just come. Danger: sent away for
+/// the next newcomer, which can say no more for itself, one newcomer after another is closed before its request can come. Where none
+/// gives way, the newcomer waits: for [`JUST_CAME`] at the longest if any connection may give way at all.
+pub fn giving_way(connections: &[Evidence], now: Nanos, places: usize, want: Want) -> Vec<usize> {
+    let mut giving = order(connections, now, places, want);
+    if let Some(first) = giving.iter().position(|n| connections[*n].just_came(now)) {
+        giving.truncate(first);
+    }
+    giving
+}
--- a/crates/admission/tests/admission.rs
+++ b/crates/admission/tests/admission.rs
@@ -1,7 +1,7 @@
 //! Floods and crowds against true clients, in a plain model of a table of connections.
 
 use proptest::prelude::*;
-use rushquay_admission::{order, Doing, Evidence, Nanos, Want, SOON, STOPPED};
+use rushquay_admission::{giving_way, order, Doing, Evidence, Nanos, Want, JUST_CAME, SOON, STOPPED};
 
 const MS: Nanos = 1_000_000;
 const NOW: Nanos = 100_000 * MS;
@@ -46,6 +46,22 @@
     assert_eq!(order(&all, NOW, 100, Want::Slack), [4, 3, 2]);
 }
 
+#[test]
+fn who_has_just_come_is_waited_for_and_nobody_of_more_use_goes_instead() {
+    let newcomer = mute(JUST_CAME - 1);
+    for flood in [1, 30] {
+        let mut all = vec![writing(300 * MS, 50 * MS), idle(5000 * MS)];
+        all.extend(std::iter::repeat_n(newcomer, flood));
+        let idle_goes = giving_way(&all, NOW, 100, Want::Place);
+        assert_eq!(idle_goes, if flood == 1 { vec![1] } else { vec![] }, "{flood}");
+        let later = giving_way(&all, NOW + 1, 100, Want::Place);
+        assert_eq!(later, order(&all, NOW + 1, 100, Want::Place));
+    }
+    // Whoever stopped before goes first all the same.
+    let all = [newcomer, mute(JUST_CAME), writing(3000 * MS, STOPPED), idle(0)];
+    assert_eq!(giving_way(&all, NOW, 4, Want::Place), [2, 1]);
+}
+
 #[test]
 fn a_flood_pushes_out_one_another() {
     let mut all = vec![idle(60_000 * MS), writing(1500 * MS, 300 * MS)];
@@ -110,6 +126,19 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
 
+    /// Danger: newcomers would be kept out for good by those that came just before them.
+    #[test]
+    fn somebody_gives_way_once_nobody_has_just_come(
+        all in prop::collection::vec(evidence(), 1..80),
+        places in 1usize..100,
+    ) {
+        let giving = giving_way(&all, NOW, places, Want::Place);
+        let order_now = order(&all, NOW, places, Want::Place);
+        prop_assert_eq!(&giving[..], &order_now[..giving.len()]);
+        prop_assert!(giving.iter().all(|n| !(all[*n].doing(NOW) == Doing::Fresh && NOW - all[*n].since < JUST_CAME)));
+        prop_assert!(!giving_way(&all, NOW + JUST_CAME, places, Want::Place).is_empty());
+    }
+
     /// Danger: a full table of which nobody gives way keeps every new client out.
     #[test]
     fn somebody_always_gives_way_and_nobody_twice(all in prop::collection::vec(evidence(), 1..80), places in 1usize..100) {
--- a/src/net/accepting.rs
+++ b/src/net/accepting.rs
@@ -4,7 +4,7 @@
 use super::client::Client;
 use super::descriptors::Permit;
 use super::server::Server;
-use rushquay_admission::{order, Evidence, Want};
+use rushquay_admission::{giving_way, Evidence, Want};
 use rushquay_guard::CloseCause;
 use rushquay_sockets::accept;
 use std::convert::Infallible;
@@ -115,9 +115,9 @@
         let leaves = |c: &&Rc<Client>| c.cause() == Some(CloseCause::MadeRoom);
         let idle: Vec<_> = clients.iter().filter(|c| !c.busy.get() && !leaves(c)).collect();
         let evidence: Vec<Evidence> = idle.iter().map(|c| c.evidence(now)).collect();
-        let order = order(&evidence, steady(), self.clients_most(), want);
-        let silent = order.iter().find(|n| idle[**n].socket.silent());
-        if let Some(n) = silent.or(order.first()) {
+        let giving = giving_way(&evidence, steady(), self.clients_most(), want);
+        let silent = giving.iter().find(|n| idle[**n].socket.silent());
+        if let Some(n) = silent.or(giving.first()) {
             idle[*n].end(CloseCause::MadeRoom);
         }
     }
