Refuse an override that the store of a lease does not keep

Cause: Shared::set and lift answered 'held in memory alone' under a lease too, while step_down drops the book (shared.rs). Under a lease what is not kept is not done now (507, status 1), and the book from before is written again; alone, memory holds it until the disk works, as before. Changes of the book take turns.

--- a/crates/control-service/src/shared.rs
+++ b/crates/control-service/src/shared.rs
@@ -100,6 +100,8 @@
     pub policies: Option<Policies>,
     /// One change is begun at a time, of whichever kind. Locked before all else.
     pub begins: Mutex<()>,
+    /// One change of the book at a time: it is made, kept, and only then counts. Locked before `book`.
+    book_turn: Mutex<()>,
     /// The time.
     pub clock: Arc<ServiceClock>,
     settings: Settings,
@@ -153,6 +155,7 @@
             rollout,
             policies,
             begins: Mutex::default(),
+            book_turn: Mutex::default(),
         });
         if shared.rollout.is_some() || shared.policies.is_some() {
             let hears = Arc::downgrade(&shared);
@@ -266,6 +269,8 @@
         *control = new;
         *lock(&self.keeper) = Some(Arc::new(Keeper::on(durable, saved)));
         *lock(&self.since) = Instant::now();
+        // What another lease left unkept is not this one's.
+        self.unkept.store(false, Ordering::SeqCst);
         self.rollout.iter().for_each(|r| r.lead(records, wall));
         self.policies.iter().for_each(|p| p.lead(records, self));
         self.hub.serve(Store::new(&incarnation(epoch), self.settings.control.removals));
@@ -357,10 +362,8 @@
     pub(crate) fn set(&self, ask: Ask, expected: Option<u64>) -> Result<(Override, Option<String>), Denied> {
         self.must_lead()?;
         let fleet = lock(&self.control).fleet();
-        let set = self.book().set(ask, &fleet, self.wall(), expected)?;
-        let undurable = self.book_kept(self.keep_book());
-        // Danger: a leader whose lease ended meanwhile would acknowledge what its successor doesn't know.
-        self.must_lead()?;
+        let wall = self.wall();
+        let (set, undurable) = self.change_book(|book| book.set(ask, &fleet, wall, expected))?;
         let Override { id, author, effect, scope, reason, .. } = &set;
         info!(id, %author, %effect, on = %scope, %reason, "override set");
         self.impose();
@@ -375,14 +378,35 @@
         expected: Option<u64>,
     ) -> Result<(Override, Option<String>), Denied> {
         self.must_lead()?;
-        let lifted = self.book().lift(id, by, self.wall(), expected)?;
-        let undurable = self.book_kept(self.keep_book());
-        self.must_lead()?;
+        let wall = self.wall();
+        let (lifted, undurable) = self.change_book(|book| book.lift(id, by, wall, expected))?;
         info!(id, by, "override lifted");
         self.impose();
         Ok((lifted, undurable))
     }
 
+    /// Changes the book and keeps it; with why it is held in memory alone, where it is.
+    fn change_book<T>(
+        &self,
+        change: impl FnOnce(&mut Book) -> Result<T, Refusal>,
+    ) -> Result<(T, Option<String>), Denied> {
+        let _turn = lock(&self.book_turn);
+        let before = self.book().clone();
+        let done = change(&mut self.book())?;
+        let kept = self.keep_book();
+        // Danger: the store that does not keep it does not keep the lease either, and with the lease what is held in memory goes.
+        // What was not kept is not done; the book from before is written again as soon as that can be.
+        if let (Err(e), Some(_)) = (&kept, &self.standby) {
+            *self.book() = before;
+            self.book_kept(kept.clone());
+            self.must_lead()?;
+            return Err(Denied::not_kept(e));
+        }
+        // Danger: a leader whose lease ended meanwhile would acknowledge what its successor doesn't know.
+        self.must_lead()?;
+        Ok((done, self.book_kept(kept)))
+    }
+
     /// Keeps what has changed in the book; why not, where it is not.
     fn keep_book(&self) -> Result<(), KeepError> {
         // One at a time, in the order of the book.
--- a/crates/overrides/src/book.rs
+++ b/crates/overrides/src/book.rs
@@ -85,7 +85,7 @@
 }
 
 /// The book of overrides.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Book {
     policy: Policy,
     live: BTreeMap<u64, Override>,
