Add a failing test of an instance that leads in epoch 0

Trace of two failures, of a_leader_that_is_stopped_in_the_middle_of_a_call_is_followed and of the etcd test: both read leads=true with epoch 0 or takeovers 0, since Guard::take_over hands out before it writes down in which epoch.

--- a/tests/control/standby.rs
+++ b/tests/control/standby.rs
@@ -278,3 +278,33 @@
     etcd.away(false);
     assert!(leads(&service).await > epoch);
 }
+
+/// Danger: who reads that an instance leads, and in no epoch, takes the one before for the newer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_instance_that_says_that_it_leads_says_in_which_epoch() {
+    let file = File::new("leader-epoch");
+    let fleet = nodes(&["a"]).await;
+    let discovery = Discovery::start(41, &ready(&fleet)).await;
+    let first = instance("first", discovery.addr, &Place::File(&file.0)).await;
+    leads(&first).await;
+    let second = instance("second", discovery.addr, &Place::File(&file.0)).await;
+    let admin = second.admin.expect("admin");
+    let asked = async || {
+        let said = rushquay_harness::call(admin, hyper::Method::GET, "/status", None, None).await;
+        said.expect("an answer").1["standby"].clone()
+    };
+    until("it follows the list", || state(&second).leader.as_deref() == Some("first")).await;
+    let stopping = tokio::spawn(first.stop());
+    let start = Instant::now();
+    // Looked at again and again while it takes over.
+    loop {
+        let standby = asked().await;
+        let (epoch, takeovers) = (&standby["epoch"], &standby["takeovers"]);
+        assert!(standby["leads"] != true || (*epoch != 0 && *takeovers == 1), "{standby:#}");
+        if standby["leads"] == true {
+            break;
+        }
+        assert!(start.elapsed() < LONG, "it never leads");
+    }
+    stopping.await.expect("stopped");
+}
