Tell that an instance leads only with the epoch in which it does

Cause: admin.rs read shared.leads() beside a state that Guard::take_over writes down later. A fault of the tests found by the trace: all programs of tests/control/standby.rs that are called 'first' wrote their settings into one folder, and tests that began at the same moment started one another's; each folder has a number now. Which of the two failed a_leader_that_is_stopped_... before is not known: the read of epoch 0 fits its line, the other was met when the tests of that file ran by themselves (5 of 6 runs; none of 4 since).

--- a/crates/control-service/src/admin.rs
+++ b/crates/control-service/src/admin.rs
@@ -135,8 +135,10 @@
     });
     let standby = shared.standby.as_ref().map(|standby| {
         let state = standby.state();
+        // It hands out a moment before it is written down in which epoch.
+        let leads = state.epoch > 0 && shared.leads();
         json!({
-            "name": standby.me, "leads": shared.leads(), "epoch": state.epoch, "leader": state.leader,
+            "name": standby.me, "leads": leads, "epoch": state.epoch, "leader": state.leader,
             "store": standby.store.name(), "fault": state.fault, "takeovers": state.takeovers,
             "takeover_ms": state.takeover_ms,
         })
--- a/tests/control/program.rs
+++ b/tests/control/program.rs
@@ -8,8 +8,11 @@
 pub struct Folder(PathBuf);
 
 impl Folder {
+    /// One that no other test has, whatever its name.
     pub fn new(name: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("rushquay-{name}-{}", std::process::id()));
+        static NUMBER: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
+        let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("rushquay-{name}-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&path).expect("a folder");
         Folder(path)
     }
