Add failing tests of settings that can't be opened for a moment

Crossing of a reload and of a start with a shortage of descriptors, found by reading config.rs and server.rs::reread. Measured with the library of faults (new call open): after three seconds of ENFILE a SIGHUP never takes effect, and a start ends at once.

--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -189,10 +189,20 @@
 /// Danger: a process that is started while the machine is short of descriptors would end, and its front have nobody.
 #[test]
 fn a_process_that_starts_during_a_shortage_waits_it_out() {
+    started_during_a_shortage("start", "socket:ENFILE=1");
+}
+
+/// The same before it has read its settings.
+#[test]
+fn a_process_that_cannot_open_its_settings_yet_waits_for_them() {
+    started_during_a_shortage("settings", "open:ENFILE=1");
+}
+
+fn started_during_a_shortage(name: &str, rule: &str) {
     println!("seed {SEED}");
-    let switch = std::env::temp_dir().join(format!("rushquay-faults-start-{}", std::process::id()));
+    let switch = std::env::temp_dir().join(format!("rushquay-faults-{name}-{}", std::process::id()));
     std::fs::write(&switch, "").expect("written");
-    let faults = Faults::new(SEED, "socket:ENFILE=1").while_exists(&switch);
+    let faults = Faults::new(SEED, rule).while_exists(&switch);
     let discovery = Server::new();
     let mut told = config(discovery.addr, &[member("c1", answering(), "std", "ready")]);
     told["admin_addr"] = json!("127.0.0.1:0");
@@ -237,3 +247,25 @@
     assert!((1..=10).contains(&lines), "{lines} lines");
     std::fs::write(&faulty.switch, "").expect("written");
 }
+
+/// Danger: told to read its settings in a moment of shortage, a proxy would go on asking a discovery that nobody tells anything any more.
+#[test]
+fn settings_that_cannot_be_opened_at_a_reload_are_read_once_they_can() {
+    let (first, second) = (Server::new(), Server::new());
+    println!("seed {SEED}");
+    let switch = std::env::temp_dir().join(format!("rushquay-faults-reload-{}", std::process::id()));
+    let faults = Faults::new(SEED, "open:ENFILE=1").while_exists(&switch);
+    let servers = [member("c1", answering(), "std", "ready")];
+    let variables = faults.variables();
+    let variables: Vec<(&str, &str)> = variables.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
+    let proxy = Proxy::with(&config(first.addr, &servers), &variables);
+    first.take().request();
+    std::fs::write(&proxy.file, config(second.addr, &servers).to_string()).expect("written");
+    std::fs::write(&switch, "").expect("written");
+    proxy.signal("-HUP");
+    // Longer than a file takes to be written whole.
+    std::thread::sleep(Duration::from_secs(3));
+    assert!(second.none_came(), "it can't have read them");
+    std::fs::remove_file(&switch).expect("removed");
+    second.take().request();
+}
--- a/tests/shim/faults.c
+++ b/tests/shim/faults.c
@@ -3,7 +3,8 @@
  * calls fail in ways that Linux documents. Nothing that ships depends on it.
  *
  * RUSHQUAY_FAULTS  what fails: rules, separated by ';', each CALL:KIND=PROBABILITY. CALL is one of accept, connect, socket,
- *                  recv, send, poll, sync, write, proc (what the machine says of its processes is opened); KIND is an errno by name, or `short` (recv, send: one byte at most is
+ *                  recv, send, poll, sync, write, proc (what the machine says of its processes is opened), open (another file is opened to be
+ *                  read); KIND is an errno by name, or `short` (recv, send: one byte at most is
  *                  moved). `seed=N` sets the seed of the draws, `step=S/P` steps the wall clock by S seconds, forward and back
  *                  in turn, every P seconds; `jump=S` has the wall clock S seconds ahead for as long as faults are injected.
  * RUSHQUAY_FAULTS_WHEN  a file: faults are injected only while it exists (looked at every 5 ms). Without: always.
@@ -32,9 +33,9 @@
 #include <time.h>
 #include <unistd.h>
 
-enum call { ACCEPT, CONNECT, SOCKET, RECV, SEND, POLL, SYNC, WRITE, PROC, CALLS };
+enum call { ACCEPT, CONNECT, SOCKET, RECV, SEND, POLL, SYNC, WRITE, PROC, OPEN, CALLS };
 static const char *const CALL_NAMES[CALLS] = {"accept", "connect", "socket", "recv", "send",
-                                              "poll",   "sync",    "write",  "proc"};
+                                              "poll",   "sync",    "write",  "proc", "open"};
 
 struct error_name {
     const char *name;
@@ -288,6 +289,8 @@
     }
     if (is_proc(path))
         FAIL_IF(PROC);
+    else if ((flags & O_ACCMODE) == O_RDONLY)
+        FAIL_IF(OPEN);
     return REAL(open64)(path, flags, mode);
 }
 
