Wait for descriptors where settings are opened, at a start and at a reload

Cause: config.rs and the files that it names were opened once; server.rs::reread gave up after 1.5 s whatever stood in the way. Ruled out: half-written files, whose ten readings are as they were.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -6,6 +6,7 @@
 use super::policy_source::PolicySource;
 use super::rollout_source::RolloutSource;
 use super::settings::{settings_of, whole};
+use super::settings_file::read_text;
 use super::subscription::ControlSource;
 use crate::api::{Nanos, Settings};
 use rushquay_control_service::Clocks;
@@ -98,7 +99,7 @@
 
     fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
         let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG is not set".to_string())?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("PROXY_CONFIG: {path}: {e}"))?;
+        let text = read_text(path.as_ref()).map_err(|e| format!("PROXY_CONFIG: {path}: {e}"))?;
         Self::parse(&text, variable).map_err(|e| format!("PROXY_CONFIG: {path}: {e}"))
     }
 
--- a/src/net/envoy/source.rs
+++ b/src/net/envoy/source.rs
@@ -1,5 +1,6 @@
 //! The settings that have clusters, endpoints and routes come in Envoy's form, checked.
 
+use crate::net::settings_file::read_text;
 use rushquay_envoy::{bootstrap, Bootstrap};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -63,7 +64,7 @@
     /// What is wrong, with the file and the field.
     pub fn read(path: &Path) -> Result<Self, String> {
         let at = |e: String| format!("{}: {e}", path.display());
-        let text = std::fs::read_to_string(path).map_err(|e| at(e.to_string()))?;
+        let text = read_text(path).map_err(|e| at(e.to_string()))?;
         let file: File = toml::from_str(&text).map_err(|e| at(e.to_string()))?;
         let need = |holds: bool, what: &str| if holds { Ok(()) } else { Err(at(what.to_owned())) };
         need((1..=60_000).contains(&file.backoff_ms), "backoff_ms: expected milliseconds from 1 to 60000")?;
@@ -95,6 +96,6 @@
 /// # Errors
 /// What is wrong, with the file and the field.
 pub fn read_bootstrap(path: &Path) -> Result<Bootstrap, String> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let text = read_text(path).map_err(|e| format!("{}: {e}", path.display()))?;
     bootstrap(&text).map_err(|e| format!("{}: {e}", path.display()))
 }
--- a/src/net/policy_source.rs
+++ b/src/net/policy_source.rs
@@ -1,5 +1,6 @@
 //! The settings of a proxy's part in changes of policy, checked.
 
+use super::settings_file::read_text;
 use rushquay_policy::{Floor, Unanswered};
 use serde::Deserialize;
 use serde_json::Value;
@@ -45,7 +46,7 @@
     /// # Errors
     /// What is wrong, with the file and the field.
     pub fn form(path: &Path) -> Result<Self, String> {
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let text = read_text(path).map_err(|e| format!("{}: {e}", path.display()))?;
         let read = toml::from_str::<Written>(&text).map_err(|e| e.to_string());
         read.and_then(Self::of).map_err(|e| format!("{}: {e}", path.display()))
     }
--- a/src/net/rollout_source.rs
+++ b/src/net/rollout_source.rs
@@ -1,5 +1,6 @@
 //! The settings of a proxy's part in changes, checked.
 
+use super::settings_file::read_text;
 use serde::Deserialize;
 use serde_json::Value;
 use std::path::Path;
@@ -32,7 +33,7 @@
     /// # Errors
     /// What is wrong, with the file and the field.
     pub fn read(path: &Path, own: &Value) -> Result<Self, String> {
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let text = read_text(path).map_err(|e| format!("{}: {e}", path.display()))?;
         let read = toml::from_str::<Written>(&text).map_err(|e| e.to_string());
         read.and_then(|w| Self::of(w, own)).map_err(|e| format!("{}: {e}", path.display()))
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -18,6 +18,7 @@
 use super::nodes::NodeList;
 use super::policy::{Handed, Policy};
 use super::pools::Pools;
+use super::reload;
 use super::rollout::Rollout;
 use super::signals::SignalFlag;
 use super::stalls;
@@ -50,10 +51,6 @@
 const OWN_DESCRIPTORS: usize = 20 + discovery::DESCRIPTORS;
 /// Memory that is no connection's.
 const OWN_MEMORY: usize = 8 << 20;
-/// A client's settings are read again so often, where the file can't be used: it may be half written.
-const REREAD_MOST: u32 = 10;
-const REREAD_EVERY: Duration = Duration::from_millis(150);
-
 /// A process that serves.
 pub(super) struct Server {
     pub front: Front,
@@ -279,16 +276,7 @@
         let parts = control::Parts { rollout: rollout.clone(), policy: policy.clone(), news };
         tokio::task::spawn_local(subscription.follow(nodes.clone(), parts));
     }
-    tokio::task::spawn_local(async move {
-        loop {
-            hangup.raised().await;
-            match reread().await {
-                // The receiver is gone only when the proxy ends.
-                Ok(config) => drop(config.discovery.map(|discovery| moves.send(discovery))),
-                Err(e) => super::log(format_args!("the settings stay as they are: {e}")),
-            }
-        }
-    });
+    tokio::task::spawn_local(reload::follow(hangup, moves));
     Ok(Begun { front: Front::One { engine, upstreams, nodes }, rollout, policy })
 }
 
@@ -330,16 +318,3 @@
         }
     }
 }
-
-/// Reads the settings again, and once more where they can't be used: whoever writes the file may still be at it.
-async fn reread() -> Result<Config, String> {
-    let mut tries = 0;
-    loop {
-        tries += 1;
-        match Config::again() {
-            Err(e) if tries >= REREAD_MOST => return Err(e),
-            Err(_) => sleep(REREAD_EVERY).await,
-            read => return read,
-        }
-    }
-}
--- a/src/net/subscription.rs
+++ b/src/net/subscription.rs
@@ -1,5 +1,6 @@
 //! The settings of a subscription to a control service, checked.
 
+use super::settings_file::read_text;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -73,7 +74,7 @@
     /// # Errors
     /// What is wrong, with the file and the field.
     pub fn read(path: &Path) -> Result<Self, String> {
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let text = read_text(path).map_err(|e| format!("{}: {e}", path.display()))?;
         let read = toml::from_str::<Self>(&text).map_err(|e| e.to_string()).and_then(Self::checked);
         read.map_err(|e| format!("{}: {e}", path.display()))
     }
