Add a failing test of a watched file that can't be opened for a moment

The same mistake as with settings, looked for elsewhere: file.rs reads a changed file three times in 0.3 s and then never again until it changes. Measured: a drain written during a second of ENFILE is told to nobody (60 s waited).

--- a/tests/control/program.rs
+++ b/tests/control/program.rs
@@ -159,6 +159,26 @@
     assert!(running.child.wait().expect("ended").success());
 }
 
+/// Danger: a drain that is written while the service lacks descriptors would be told to nobody before the next change of the file.
+#[tokio::test]
+async fn a_list_that_changes_while_its_file_cannot_be_opened_is_taken_later() {
+    let folder = Folder::new("unopened");
+    let file = folder.write("nodes.json", &list(1, "ready"));
+    let switch = std::env::temp_dir().join(format!("rushquay-unopened-{}", std::process::id()));
+    let faults = rushquay_harness::Faults::new(39, "open:ENFILE=1").while_exists(&switch);
+    let running = Running::with(&["--nodes", file.to_str().expect("a path")], &faults.variables());
+    let both = |state: &str| vec![("a".to_owned(), "ready".to_owned()), ("b".to_owned(), state.to_owned())];
+    until("the file counts", || running.states() == both("ready")).await;
+    std::fs::write(&switch, "").expect("written");
+    let new = folder.write("new.json", &list(2, "draining"));
+    std::fs::rename(new, &file).expect("renamed");
+    // The file is looked at ten times a second.
+    until("the fault is told", || running.get("/status").1.contains("nodes.json")).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    std::fs::remove_file(&switch).expect("removed");
+    until("the new file counts", || running.states() == both("draining")).await;
+}
+
 #[tokio::test]
 async fn control_without_a_list_is_not_healthy() {
     let down = Discovery::start(1, &[]).await;
