Read a watched file again until it could be opened

Cause: Watched counted a reading that failed for lack of descriptors like one that went well (file.rs; src/net/envoy/files.rs with it). It is read again at each look until it can be; what it says wrongly is told once, as before.

--- a/crates/control-service/src/file.rs
+++ b/crates/control-service/src/file.rs
@@ -39,6 +39,12 @@
         self.looks = READ_AGAIN;
     }
 
+    /// It could not be opened or read just now: it is tried again at the next look. Danger: what it says would be missed until it
+    /// changes again.
+    pub fn unread(&mut self) {
+        self.looks = self.looks.max(1);
+    }
+
     /// Whether it is to be read now. `Some(true)`: and again soon, so that a fault may still pass.
     pub fn look(&mut self, path: &Path) -> Option<bool> {
         let now = Some(stamp(path));
@@ -50,10 +56,25 @@
     }
 }
 
+/// Why a file brings no list.
+enum ReadError {
+    /// It could not be opened or read, which may pass.
+    Unread(String),
+    /// It says something else.
+    Invalid(String),
+}
+
 /// Reads the file, strictly.
 pub fn read(path: &Path) -> Result<Members, String> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    check_list(&text).map_err(|e| format!("{}: {e}", path.display()))
+    try_read(path).map_err(|e| match e {
+        ReadError::Unread(why) | ReadError::Invalid(why) => why,
+    })
+}
+
+fn try_read(path: &Path) -> Result<Members, ReadError> {
+    let text = std::fs::read_to_string(path);
+    let text = text.map_err(|e| ReadError::Unread(format!("{}: {e}", path.display())))?;
+    check_list(&text).map_err(|e| ReadError::Invalid(format!("{}: {e}", path.display())))
 }
 
 /// Follows for good; a message on `again` has the file read at once. What can't be read changes nothing.
@@ -63,7 +84,14 @@
     let mut last_text = None;
     loop {
         if let Some(soon) = watched.look(&path) {
-            match read(&path) {
+            let read = try_read(&path).map_err(|e| match e {
+                ReadError::Unread(why) => {
+                    watched.unread();
+                    why
+                }
+                ReadError::Invalid(why) => why,
+            });
+            match read {
                 Ok(list) => {
                     last_fault.clear();
                     if last_text.as_ref() != Some(&list) {
--- a/src/net/envoy/files.rs
+++ b/src/net/envoy/files.rs
@@ -38,7 +38,10 @@
 fn read(shared: &Shared, path: &PathBuf, kind: Kind, this: &mut Followed, soon: bool) {
     let text = match std::fs::metadata(path) {
         Ok(m) if m.len() > FILE_MOST => Err(format!("longer than {FILE_MOST} bytes")),
-        _ => std::fs::read_to_string(path).map_err(|e| e.to_string()),
+        _ => std::fs::read_to_string(path).map_err(|e| {
+            this.watched.unread();
+            e.to_string()
+        }),
     };
     if matches!((&text, &this.last), (Ok(text), Some(Ok(last))) if text == last) {
         return;
--- a/tests/envoy/files.rs
+++ b/tests/envoy/files.rs
@@ -49,6 +49,29 @@
     until("it is gone", async || client.get("/read/1").await.status == 503).await;
 }
 
+/// Danger: a change that is written while the machine lacks descriptors would be missed until the file changes again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_file_that_changes_while_it_cannot_be_opened_is_taken_later() {
+    let resources = Folder::new();
+    let any = |kind: rushquay_xds::Kind, yaml: &str| {
+        format!("resources: [{{'@type': {}, {}", kind.type_url(), &yaml[1..]) + "]"
+    };
+    let table = |step| any(rushquay_xds::Kind::Route, &routes(step, &[]).2);
+    let rds = resources.put("rds.yaml", &table(1)).display().to_string();
+    let in_file = format!("{{path_config_source: {{path: {rds}}}}}");
+    let lds = any(rushquay_xds::Kind::Listener, &listener().2.replace("{ads: {}}", &in_file));
+    let lds = resources.put("lds.yaml", &lds).display().to_string();
+    let bootstrap = format!("dynamic_resources: {{lds_config: {{path_config_source: {{path: {lds}}}}}}}");
+    let proxy = FaultyProxy::start(&bootstrap, "open:ENFILE=1");
+    proxy.reached(1).await;
+    proxy.begin_faults();
+    resources.put("rds.yaml", &table(2));
+    // The file is looked at ten times a second.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    proxy.end_faults();
+    proxy.reached(2).await;
+}
+
 /// A bootstrap file whose admin page is at this address.
 fn with_admin_page(management: &Management, admin: std::net::SocketAddr) -> String {
     bootstrap(management.addr, rushquay_xds::server::Variant::Delta).replace(
--- a/tests/envoy/rig.rs
+++ b/tests/envoy/rig.rs
@@ -10,13 +10,14 @@
 use rushquay_envoy::resource::message_of;
 use rushquay_envoy::text::{encode, parse};
 use rushquay_envoy::Notes;
+use rushquay_harness::{Faults, History, Process};
 use rushquay_standins::{proxy_config, Node};
 use rushquay_xds::server::Variant;
 use rushquay_xds::{version_of, Declared, Kind, Store};
 use rushquay_xds_grpc::{serve, Hub, ServerLimits, Subscriber};
 use serde_json::json;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -184,6 +185,55 @@
     }
 }
 
+/// A proxy in a process of its own, whose system calls fail while the test wants it.
+pub struct FaultyProxy {
+    pub addr: SocketAddr,
+    pub folder: Folder,
+    _process: Process,
+}
+
+impl FaultyProxy {
+    /// Starts a proxy on a bootstrap file; the rules (`tests/shim/faults.c`) hold once [`Self::begin_faults`] is called.
+    pub fn start(bootstrap: &str, rules: &str) -> Self {
+        let folder = Folder::new();
+        folder.put("bootstrap.yaml", bootstrap);
+        let envoy = folder.put("envoy.toml", "bootstrap = 'bootstrap.yaml'\n");
+        let mut config = proxy_config("p", "127.0.0.1:1".parse().expect("an address"), &[], &[]);
+        config["discovery"] = json!(null);
+        config["envoy"] = json!(envoy);
+        // Without an origin writes go to the nodes.
+        config["settings"]["family_info"] = json!(null);
+        let config = folder.put("proxy.json", &config.to_string());
+        let faults = Faults::new(39, rules).while_exists(&folder.0.join("faults"));
+        let mut variables = faults.variables();
+        variables.push(("PROXY_CONFIG".into(), config.display().to_string()));
+        let variables: Vec<(&str, &str)> = variables.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
+        let program = Path::new(env!("CARGO_BIN_EXE_rushquay"));
+        let process = Process::start("proxy", program, &[], &variables, &History::default());
+        let addr = process.says("rushquay: listening on ").parse().expect("an address");
+        FaultyProxy { addr, folder, _process: process }
+    }
+
+    /// From now on calls fail.
+    pub fn begin_faults(&self) {
+        self.folder.put("faults", "");
+        // The library looks for the file every few milliseconds.
+        std::thread::sleep(Duration::from_millis(20));
+    }
+
+    /// From now on they go well.
+    pub fn end_faults(&self) {
+        std::fs::remove_file(self.folder.0.join("faults")).expect("removed");
+    }
+
+    /// Waits until routes hold that say `step`.
+    pub async fn reached(&self, step: u64) {
+        let mut client = Client::to(self.addr).await;
+        until(&format!("step {step} holds"), async || client.get("/step").await.body == step.to_string())
+            .await;
+    }
+}
+
 /// An answer.
 #[derive(Debug)]
 pub struct Answer {
