Test half-written settings at a reload, and starts on a stepped clock

Seen without the code: with the use in src/net/nodes.rs taken out the run of that file did not end within 20 minutes (the log is waited for without a limit); what the other test says without the repeated reading was not seen. With the code: tests/discovery 7 passed.

--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -149,3 +149,38 @@
     assert!(whole.request().line.contains("from=42"));
     f.refuses();
 }
+
+/// Danger: settings that are still being written when the signal comes would never be read whole.
+#[test]
+fn settings_that_are_half_written_at_a_reload_are_read_once_they_are_whole() {
+    let (node, first, second) = (Server::new(), Server::new(), Server::new());
+    let servers = [member("c1", node.addr, "std", "ready")];
+    let proxy = Proxy::new(&config(first.addr, &servers));
+    first.take().request();
+    let whole = config(second.addr, &servers).to_string();
+    std::fs::write(&proxy.file, &whole[..whole.len() / 2]).expect("written");
+    proxy.signal("-HUP");
+    std::thread::sleep(std::time::Duration::from_millis(400));
+    assert!(second.none_came(), "half of the settings can't be read");
+    std::fs::write(&proxy.file, &whole).expect("written");
+    second.take().request();
+}
+
+/// Danger: by a clock that was an hour ahead when the process started, each node that starts would be taken for a warm one.
+#[test]
+fn a_process_that_starts_on_a_stepped_clock_takes_starts_by_discoverys() {
+    let (node, discovery) = (Server::new(), Server::new());
+    let switch = std::env::temp_dir().join(format!("rushquay-stepped-start-{}", std::process::id()));
+    std::fs::write(&switch, "").expect("written");
+    let faults = rushquay_harness::Faults::new(39, "jump=3600").while_exists(&switch);
+    let variables = faults.variables();
+    let variables: Vec<(&str, &str)> = variables.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
+    let servers = [member("c1", node.addr, "std", "ready")];
+    let mut proxy = Proxy::with(&config(discovery.addr, &servers), &variables);
+    let mut asked = discovery.take();
+    asked.request();
+    std::fs::remove_file(&switch).expect("removed");
+    let date = jiff::fmt::rfc2822::to_string(&jiff::Zoned::now()).expect("a date");
+    asked.reply("200 OK", &format!("Date: {date}\r\n"), &list(42, true, &servers).to_string());
+    proxy.logged("nodes' starts go by discovery's");
+}
