--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -443,20 +443,39 @@
     assert!(cold[0].left < 0.2, "{cold:?}");
 }
 
+/// An old process with a request out, and a new one that serves in its place.
+struct Succession {
+    _place: Place,
+    cache: Server,
+    old: Proxy,
+    new: Proxy,
+    /// The client whose request is out.
+    first: Peer,
+    /// The node that has it.
+    node: Peer,
+}
+
+impl Succession {
+    fn with_a_request_out() -> Self {
+        let (place, cache) = (Place::new(), Server::new());
+        let servers = [member("c1", cache.addr, "std", "ready")];
+        let mut old = place.start(&servers);
+        old.yes();
+        let mut first = old.client();
+        first.ask("order", "");
+        let mut node = cache.take();
+        node.request();
+        let mut new = place.start(&servers);
+        new.yes();
+        old.logged("a new process serves");
+        Succession { _place: place, cache, old, new, first, node }
+    }
+}
+
 /// Danger: an old process that ends would take connections from the door that the new one has, and close those that say nothing yet.
 #[test]
 fn an_old_process_leaves_what_waits_at_a_shared_door_to_the_new_one() {
-    let (place, cache) = (Place::new(), Server::new());
-    let servers = [member("c1", cache.addr, "std", "ready")];
-    let mut old = place.start(&servers);
-    old.yes();
-    let mut first = old.client();
-    first.ask("order", "");
-    let mut node = cache.take();
-    node.request();
-    let mut new = place.start(&servers);
-    new.yes();
-    old.logged("a new process serves");
+    let Succession { _place, cache, mut old, new, mut first, mut node } = Succession::with_a_request_out();
     new.halt();
     old.signal("-TERM");
     old.logged("draining");
@@ -476,17 +495,8 @@
 /// Danger: with its successor gone nobody else takes what waits at the door, and the door goes with the old process.
 #[test]
 fn an_old_process_that_ends_takes_the_door_back_where_its_successor_dies() {
-    let (place, cache) = (Place::new(), Server::new());
-    let servers = [member("c1", cache.addr, "std", "ready")];
-    let mut old = place.start(&servers);
-    old.yes();
-    let mut first = old.client();
-    first.ask("order", "");
-    let mut node = cache.take();
-    node.request();
-    let mut new = place.start(&servers);
-    new.yes();
-    old.logged("a new process serves");
+    let Succession { _place, cache, mut old, mut new, mut first, mut node } =
+        Succession::with_a_request_out();
     old.signal("-TERM");
     old.logged("draining");
     new.child.kill().expect("killed");
