--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -30,8 +30,11 @@
 /// What could not be kept is tried again after this time.
 const KEEP_AGAIN: Duration = Duration::from_secs(1);
 
+/// Writes a line to standard error in one call. Danger: the processes that it starts write there too, and in several calls a line of
+/// theirs may stand in the midst of this one.
 fn say(line: impl std::fmt::Display) {
-    let _ = writeln!(std::io::stderr(), "rushquay host: {line}");
+    let text = format!("rushquay host: {line}\n");
+    let _ = std::io::stderr().write_all(text.as_bytes());
 }
 
 /// What the settings themselves say is to run.
