Add a failing test of a host that would kill what waits for leave

Found in the last reading of this change: with signs of life behind may_serve a hosted process that nobody gives leave for ten seconds is killed, and after three times gone back from.

--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -513,6 +513,35 @@
     assert_eq!(old.child.wait().expect("ended").code(), Some(0));
 }
 
+/// Danger: a host kills a process that never says yes, and pauses before the next; one that nobody gives leave for a while would be
+/// started again and again, and be away when leave could be had.
+#[test]
+fn signs_of_life_do_not_wait_for_leave() {
+    let place = Place::new();
+    let servers = [member("c1", Server::new().addr, "std", "ready")];
+    let mut config = place.config(&servers);
+    config["control_service"] = json!({"addresses": [Server::new().addr.to_string()]});
+    config["policy"] = json!({"ask_ms": 100});
+    let socket = place.dir.join("host");
+    let host = std::os::unix::net::UnixDatagram::bind(&socket).expect("bound");
+    host.set_read_timeout(Some(LONG)).expect("time-out");
+    let program = "00112233445566778899aabbccddeeff";
+    let variables = [
+        ("PROXY_HOST", socket.to_str().expect("a path")),
+        ("PROXY_PROGRAM", program),
+        ("PROXY_OWN_PROGRAM", program),
+    ];
+    let proxy = Proxy::with(&config, &variables);
+    let mut bytes = [0; 1024];
+    let mut says_yes = || {
+        let n = host.recv(&mut bytes).expect("a sign of life");
+        rushquay_host::Pulse::read(&bytes[..n]).expect("one that can be read").yes
+    };
+    // The first may come before it accepts; they come five times a second.
+    assert!((0..25).any(|_| says_yes()), "it never says yes");
+    assert_eq!(proxy.health(), 503);
+}
+
 /// Danger: whoever hears that a new process serves has the old one end, which could.
 #[test]
 fn a_new_process_that_no_policy_lets_serve_leaves_the_old_one_its_place() {
