Have signs of life say that connections are accepted, as before

Cause: src/net/server.rs put them behind may_serve with the hand-over. A host kills what does not say yes, so a process that waits for leave or for a node must say it. STATUS and health ask the guard as before.

--- a/crates/guard/src/serve.rs
+++ b/crates/guard/src/serve.rs
@@ -25,7 +25,8 @@
     }
 }
 
-/// The guard of the words that say "this process serves": health, STATUS, signs of life to a host and the yes of a hand-over.
+/// The guard of the words that say "this process serves": health, STATUS and the yes of a hand-over. Signs of life to
+/// a host say less: that connections are accepted, which beside another process stands behind the same guard.
 ///
 /// # Errors
 /// Why it must not be said.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -59,7 +59,8 @@
     own: usize,
     /// It was told to end.
     pub draining: Cell<bool>,
-    /// Connections are accepted.
+    /// Connections are accepted: beside another process once the guard of serving has let it, else from the start on. A host goes by this
+    /// alone. Danger: it kills what does not say yes, and what waits for a node or for leave must be there when that comes.
     serving: Cell<bool>,
     /// When a connection last came.
     pub came: Cell<Instant>,
@@ -167,7 +168,7 @@
     server.tell_operators();
     if let Some(socket) = host {
         let lives = server.clone();
-        tokio::task::spawn_local(Hosted::live(socket, move || lives.says_that_it_serves()));
+        tokio::task::spawn_local(Hosted::live(socket, move || lives.serving.get()));
     }
     let watched = server.clone();
     tokio::task::spawn_local(async move {
@@ -294,16 +295,11 @@
         self.ledger.unavailable.set(avoided as u64);
         self.ledger.stand(match self.readiness() {
             Err(NotReady::Draining) => Standing::Draining,
-            Ok(()) if self.says_that_it_serves() => Standing::Serving,
+            Ok(()) if self.serving.get() => Standing::Serving,
             _ => Standing::Starting,
         });
     }
 
-    /// Whether it says to operators and to its host that it serves.
-    fn says_that_it_serves(&self) -> bool {
-        self.serving.get() && self.readiness().is_ok()
-    }
-
     /// Whether this process may say that it serves, and why not.
     pub fn readiness(&self) -> Result<(), NotReady> {
         may_serve(&self.serve_facts())
