Wait in a test until a cluster that goes is gone

The management server tells the removal of a cluster last, once no route refers to it, so the step of the routes held a moment before the cluster was gone, and the repeat went to the group that was still the same: lawful, and not what the test means to play. It waits for the acknowledgement of the removal and for routes that are declared behind it; assertions as they were.

--- a/tests/envoy/rig.rs
+++ b/tests/envoy/rig.rs
@@ -103,6 +103,13 @@
         self.hub.change(|store, now| store.remove(kind, name, now));
     }
 
+    /// How many answers of a kind the proxy has taken.
+    pub fn acks(&self, kind: Kind) -> u64 {
+        let subscribers = self.hub.subscribers();
+        let standings = subscribers.iter().flat_map(|s| &s.standing);
+        standings.filter(|(k, _)| *k == kind).map(|(_, standing)| standing.acks).sum()
+    }
+
     /// Waits for the proxy's word on what is declared of a kind.
     pub async fn answered(&self, kind: Kind) -> Subscriber {
         let mut found = None;
--- a/tests/envoy/rules.rs
+++ b/tests/envoy/rules.rs
@@ -142,10 +142,15 @@
     let mut client = proxy.client().await;
     let asked = tokio::spawn(async move { client.ask("PUT", "/set/7", &[("idempotency-key", "k")]).await });
     let taken = first.request().await;
+    let before = management.acks(Kind::Cluster);
     change(&management);
     if let Some(step) = step {
+        // A cluster that goes is told last, once nothing refers to it; what is declared behind its acknowledgement holds after it.
         management.declare(&[routes(step, &[&all_to("c")])]);
         proxy.reached(step).await;
+        until("the change of the cluster is taken", async || management.acks(Kind::Cluster) > before).await;
+        management.declare(&[routes(step + 1, &[&all_to("c")])]);
+        proxy.reached(step + 1).await;
     }
     // The answer breaks off: it may have run.
     drop(taken);
