--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -30,16 +30,20 @@
 
 /// A figure of METRICS.
 fn figure(addr: SocketAddr, name: &str) -> u64 {
+    counted(addr, name).unwrap_or_else(|| panic!("no {name} in METRICS"))
+}
+
+/// The same; `None`: nothing was counted under a label yet.
+fn counted(addr: SocketAddr, name: &str) -> Option<u64> {
     let text = call(addr, "METRICS\n");
-    let line =
-        text.lines().find_map(|l| l.strip_prefix(name)).unwrap_or_else(|| panic!("no {name} in {text}"));
-    line.trim().parse().expect("a number")
+    let line = text.lines().find_map(|l| l.strip_prefix(name))?;
+    Some(line.trim().parse().expect("a number"))
 }
 
 /// Waits until a figure is as it should be: figures may be a little late.
 fn until(addr: SocketAddr, name: &str, value: u64) {
     for _ in 0..1000 {
-        if figure(addr, name) == value {
+        if counted(addr, name) == Some(value) {
             return;
         }
         std::thread::sleep(std::time::Duration::from_millis(10));
