Trace which node connection carries an attempt, its rest, and unsolicited bytes

The trace names requests and nodes, but not the connection that carried an attempt, so it can't tell an answer of another exchange from one of this request.

Change: PROXY_TRACE tells for each attempt the connection, how many requests that had carried and how long it had rested; how long after the request's last byte the response began; bytes that came while no request was outstanding, with their delay; why a connection ended.

Costs nothing while the trace is off but a cell or two.

--- a/src/proxy/observability/request_trace.rs
+++ b/src/proxy/observability/request_trace.rs
@@ -2,12 +2,12 @@
 //! disabled, an event costs one check of a flag.
 
 use crate::api::{ServerId, Status};
-use rushquay_admin::{Cause, TurnedAway};
+use rushquay_admin::{Cause, NodeCloseCause, TurnedAway};
 use rushquay_invariants::{CloseCause, Label, SendDenied};
 use std::cell::Cell;
 use std::fmt;
 use std::io::Write as _;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Enables the trace, whatever its value.
 const VARIABLE: &str = "PROXY_TRACE";
@@ -35,6 +35,15 @@
     Denied { request: &'a str, node: ServerId, denied: SendDenied },
     /// An attempt has ended.
     Ended { request: &'a str, number: usize, node: ServerId, status: Status },
+    /// An attempt is about to be written to this connection to a node, which has carried `uses` requests before. `rested`: the time since
+    /// its last response.
+    Carried { request: &'a str, node: ServerId, connection: u64, uses: u32, rested: Option<Duration> },
+    /// The head of a response came, or (status 0) none will. `waited`: the time from the last byte written to the first byte read.
+    Response { request: &'a str, connection: u64, status: u16, waited: Option<Duration> },
+    /// A node sent bytes on a connection without an outstanding request, this long after its last response.
+    Unsolicited { node: ServerId, connection: u64, delay: Duration },
+    /// A connection to a node was closed.
+    NodeClosed { node: ServerId, connection: u64, uses: u32, cause: NodeCloseCause },
     /// A request has its final answer; `after` is the cause of a rejection or a failure.
     Answered { request: &'a str, status: u16, after: Option<Cause> },
     /// The client of a request has disconnected.
@@ -43,6 +52,18 @@
     List { entries: usize },
 }
 
+/// A duration in whole microseconds; `-` if there is none.
+struct Micros(Option<Duration>);
+
+impl fmt::Display for Micros {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(duration) => write!(f, "{}", duration.as_micros()),
+            None => f.write_str("-"),
+        }
+    }
+}
+
 fn name(cause: &Option<Cause>) -> &'static str {
     cause.map_or("first", Label::name)
 }
@@ -71,6 +92,26 @@
             Event::Ended { request, number, node, status } => {
                 write!(f, "ended request={request} number={number} node={node:016x} status={status:?}")
             }
+            Event::Carried { request, node, connection, uses, rested } => write!(
+                f,
+                "carried request={request} node={node:016x} node_connection={connection} uses={uses} rested_us={}",
+                Micros(*rested)
+            ),
+            Event::Response { request, connection, status, waited } => write!(
+                f,
+                "response request={request} node_connection={connection} status={status} waited_us={}",
+                Micros(*waited)
+            ),
+            Event::Unsolicited { node, connection, delay } => write!(
+                f,
+                "unsolicited node={node:016x} node_connection={connection} delay_us={}",
+                Micros(Some(*delay))
+            ),
+            Event::NodeClosed { node, connection, uses, cause } => write!(
+                f,
+                "node_closed node={node:016x} node_connection={connection} uses={uses} cause={}",
+                cause.name()
+            ),
             Event::Answered { request, status, after } => {
                 write!(f, "answered request={request} status={status}")?;
                 after.map_or(Ok(()), |after| write!(f, " after={}", after.name()))
--- a/src/proxy/upstream/mod.rs
+++ b/src/proxy/upstream/mod.rs
@@ -3,8 +3,8 @@
 pub(crate) mod attempt;
 pub(crate) mod attempt_policy;
 pub(crate) mod backend;
-pub(crate) mod connection;
 pub(crate) mod load_assignment;
+mod pooled_connection;
 pub(crate) mod socket;
 
 use crate::api::{Entry, Nanos, ServerId, Settings, State, Status};
@@ -17,9 +17,10 @@
 use crate::proxy::upstream::attempt::{
     AttemptBody, AttemptLimits, AttemptOutcome, Cancellation, UpstreamRequest,
 };
+use crate::proxy::upstream::pooled_connection::{drive, Connection, GaugeGuard, Idle};
 use crate::proxy::upstream::socket::{FirstByte, Io, Socket};
 use crate::proxy::{Body, MAX_BUFFERED_BODY, MAX_READ_AHEAD};
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1;
 use hyper::header::{HeaderValue, CONNECTION, HOST};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -35,7 +36,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
 use tokio::time::{timeout_at, Instant};
 
 /// Maximum size of one response: body, framing, and interim responses. Danger: hyper keeps reading for as long as interim
@@ -72,57 +72,6 @@
     }
 }
 
-/// An open connection, closed on drop.
-struct Connection {
-    sender: SendRequest<Body>,
-    socket: Rc<Socket>,
-    driver: AbortHandle,
-    /// Number of requests sent on it.
-    uses: u32,
-    /// The cause that is counted if the connection is closed now.
-    cause: Cell<NodeCloseCause>,
-    metrics: Arc<RequestMetrics>,
-    _gauges: [GaugeGuard; 2],
-}
-
-/// Increments a gauge, and decrements it on drop.
-struct GaugeGuard(Rc<Cell<u32>>);
-
-impl GaugeGuard {
-    fn new(gauge: &Rc<Cell<u32>>) -> Self {
-        gauge.set(gauge.get() + 1);
-        GaugeGuard(gauge.clone())
-    }
-}
-
-impl Drop for GaugeGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-impl Connection {
-    /// Returns whether the connection is open and no bytes follow the last response. Danger: responses carry no id, so leftover bytes
-    /// would be taken for the response to the next request. Hyper closes a connection if it finds such bytes in its own buffer,
-    /// before it returns the response; this checks the kernel's buffer.
-    fn is_reusable(&self) -> bool {
-        !self.sender.is_closed() && self.socket.has_no_input()
-    }
-
-    /// Closes the connection and counts this cause.
-    fn close(self, cause: NodeCloseCause) {
-        self.cause.set(cause);
-    }
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.metrics.node_closes.one_more(self.cause.get());
-        self.socket.close();
-        self.driver.abort();
-    }
-}
-
 /// The address of a node that accepts requests, with the epoch in which it was read.
 struct Target {
     addr: SocketAddr,
@@ -130,12 +79,6 @@
     epoch: u64,
 }
 
-/// An idle connection, and when it became idle.
-struct Idle {
-    connection: Connection,
-    since: Instant,
-}
-
 /// A listed endpoint and its idle connections.
 struct Node {
     addr: Option<SocketAddr>,
@@ -195,6 +138,8 @@
     idle_timeouts: RefCell<FxHashMap<u32, IdleTimeout>>,
     open: Rc<Cell<u32>>,
     epochs: Cell<u64>,
+    /// Number of connections that were opened; it numbers them in the trace.
+    opened: Cell<u64>,
     /// Number of nodes that accept requests. Danger: counting thousands of nodes on each request would slow all requests.
     ready: Cell<usize>,
 }
@@ -234,7 +179,7 @@
         metrics: Arc<RequestMetrics>,
         limits: ConnectionLimits,
     ) -> Rc<Self> {
-        let (nodes, open, epochs, ready) = Default::default();
+        let (nodes, open, epochs, opened, ready) = Default::default();
         let idle_timeouts = RefCell::default();
         Rc::new(Upstreams {
             nodes,
@@ -244,6 +189,7 @@
             idle_timeouts,
             open,
             epochs,
+            opened,
             ready,
         })
     }
@@ -494,10 +440,23 @@
                 deadline: deadlines.client,
                 ..pool.facts(server, epoch, deadlines, &cancellation_state)
             });
+            request_trace::event(|| Event::Carried {
+                request: upstream_request.id(),
+                node: server,
+                connection: connection.number,
+                uses: connection.uses,
+                rested: connection.socket.rested(),
+            });
             connection.socket.begin_message(MAX_RESPONSE_BYTES, Some(FirstByte { facts, time_left }));
             connection.uses += 1;
             cancellation.set_socket(&connection.socket);
             let sent = connection.sender.send_request(build_request(upstream_request, addr, time_left)).await;
+            request_trace::event(|| Event::Response {
+                request: upstream_request.id(),
+                connection: connection.number,
+                status: sent.as_ref().map_or(0, |response| response.status().as_u16()),
+                waited: connection.socket.response_delay(),
+            });
             let Ok(response) = sent else {
                 if let Some(denied) = connection.socket.denied() {
                     return self.denied_outcome(upstream_request, server, denied);
@@ -584,7 +543,10 @@
             return connection.close(NodeCloseCause::NotClean);
         }
         match self.nodes.borrow_mut().get_mut(&server).filter(|n| n.epoch == epoch && n.ready) {
-            Some(node) => node.idle.push(Idle { connection, since: Instant::now() }),
+            Some(node) => {
+                connection.socket.begin_rest();
+                node.idle.push(Idle { connection, since: Instant::now() });
+            }
             None => connection.close(NodeCloseCause::NodeChanged),
         }
     }
@@ -637,9 +599,11 @@
         let handshake =
             http1::Builder::new().max_buf_size(MAX_READ_AHEAD).handshake(TokioIo::new(Io(socket.clone())));
         let (sender, driver) = handshake.await.map_err(|_| Status::ConnectFailed)?;
-        let driver = tokio::task::spawn_local(driver).abort_handle();
+        self.opened.set(self.opened.get() + 1);
+        let number = self.opened.get();
+        let driver = tokio::task::spawn_local(drive(driver, server, number, socket.clone())).abort_handle();
         let (cause, metrics) = (Cell::new(NodeCloseCause::Failed), self.metrics.clone());
-        Ok(Connection { sender, socket, driver, uses: 0, cause, metrics, _gauges: gauges })
+        Ok(Connection { sender, socket, driver, number, server, uses: 0, cause, metrics, _gauges: gauges })
     }
 
     /// Connects to a node, and retries while this machine is short of resources. Danger: counted as connect failures, a local shortage
--- a/src/proxy/upstream/socket.rs
+++ b/src/proxy/upstream/socket.rs
@@ -46,6 +46,14 @@
     read_limit: Cell<usize>,
     /// When bytes were last read or written.
     last_activity: Cell<Instant>,
+    /// When the first byte of the response was read; `None`: none was.
+    response_started: Cell<Option<Instant>>,
+    /// When the message was written completely.
+    written_at: Cell<Option<Instant>>,
+    /// Since when no message is outstanding on a connection that is kept; `None`: one is.
+    resting_since: Cell<Option<Instant>>,
+    /// How long after the last response bytes were read while no message was outstanding.
+    unsolicited: Cell<Option<Duration>>,
     /// The check that is due before the next byte is written.
     first_byte: RefCell<Option<FirstByte>>,
     /// Why the last message was denied.
@@ -80,6 +88,10 @@
             stalled: Cell::new(false),
             read_limit: Cell::new(usize::MAX),
             last_activity: Cell::new(Instant::now()),
+            response_started: Cell::new(None),
+            written_at: Cell::new(None),
+            resting_since: Cell::new(None),
+            unsolicited: Cell::new(None),
             first_byte: RefCell::new(None),
             denied: Cell::new(None),
             interim: Cell::new(&[]),
@@ -96,10 +108,47 @@
         self.read_limit.set(read_limit);
         self.write_started.set(false);
         self.fully_written.set(false);
+        self.response_started.set(None);
+        self.written_at.set(None);
+        self.resting_since.set(None);
         self.denied.set(None);
         *self.first_byte.borrow_mut() = first_byte;
     }
 
+    /// Notes that the last response is complete and the connection is kept for another message.
+    pub fn begin_rest(&self) {
+        self.resting_since.set(Some(Instant::now()));
+    }
+
+    /// Returns for how long no message has been outstanding; `None`: one is, or none was ever written.
+    pub fn rested(&self) -> Option<Duration> {
+        self.resting_since.get().map(|since| since.elapsed())
+    }
+
+    /// Returns how long after the last byte of the message the response began; `None`: it has not begun, or began before that byte.
+    pub fn response_delay(&self) -> Option<Duration> {
+        self.response_started.get()?.checked_duration_since(self.written_at.get()?)
+    }
+
+    /// Returns how long after the last response the peer sent bytes that no message had asked for; `None`: it sent none.
+    pub fn unsolicited(&self) -> Option<Duration> {
+        self.unsolicited.get()
+    }
+
+    /// Notes that `n` bytes were read; 0: the end of the stream.
+    fn record_read(&self, n: usize) {
+        let now = Instant::now();
+        self.last_activity.set(now);
+        if n == 0 {
+            return;
+        }
+        match self.resting_since.get() {
+            Some(since) => self.unsolicited.set(Some(now - since)),
+            None if self.response_started.get().is_none() => self.response_started.set(Some(now)),
+            None => {}
+        }
+    }
+
     /// Lifts the limit on the size of the response.
     pub fn lift_read_limit(&self) {
         self.read_limit.set(usize::MAX);
@@ -289,7 +338,7 @@
                         socket.read_limit.set(socket.read_limit.get() - n);
                     }
                     socket.shortages.set(0);
-                    socket.last_activity.set(Instant::now());
+                    socket.record_read(n);
                     return Poll::Ready(Ok(n));
                 }
                 Err(e) => {
@@ -362,6 +411,7 @@
         // Hyper flushes the stream once its own buffer, which holds the complete message, is empty.
         self.0.stalled.set(false);
         if self.0.write_started.get() && !self.0.fully_written.replace(true) {
+            self.0.written_at.set(Some(self.0.last_activity.get()));
             self.0.metrics.iter().for_each(|m| m.attempts.one_more());
         }
         Poll::Ready(Ok(()))
