Let connections to nodes rest between requests, so that no stray answer passes for the next

Cause: a response of HTTP/1.1 names no request. A node that sends a second answer behind one gives it to whichever request is outstanding when it arrives. The pool used the connection just returned first, and looked for input at that moment only (src/proxy/upstream/mod.rs, is_reusable).

Change: one decision, crates/core/invariants/src/reuse.rs, says how long a connection rests: 20 ms at least, 100 ms until 20 responses of the kind of node were followed by silence, four times the longest delay seen for 30 s. The pool prefers those that rested amply, an attempt waits for a resting one rather than open another (that wait is not counted as the node's time), and input closes the connection: while it rests, right before the first byte (may_send: unread_input), and where an answer begins before the request's last byte.

Why it works: what arrives while nothing is outstanding can't be taken for an answer; delays up to the rest are seen before they do harm.

--- a/crates/core/admin/src/causes.rs
+++ b/crates/core/admin/src/causes.rs
@@ -67,5 +67,7 @@
         Finished = "finished",
         /// An attempt on it failed or was cancelled.
         Failed = "failed",
+        /// The endpoint sent bytes behind a response that no request had asked for.
+        Unsolicited = "unsolicited",
     }
 }
--- a/crates/core/invariants/src/lib.rs
+++ b/crates/core/invariants/src/lib.rs
@@ -9,12 +9,14 @@
 
 mod close;
 mod label;
+mod reuse;
 mod send;
 mod serve;
 mod violation;
 
 pub use close::{check_closed, may_close, CloseCause, ConnectionFacts, Outstanding};
 pub use label::Label;
+pub use reuse::{may_reuse, ResponseHistory, Rest, Reuse, ReuseFacts, MIN_REST, PROBATION_REST};
 pub use send::{check_sent, may_send, NodeStanding, RequestState, SendDenied, SendFacts, SentAttempt};
 pub use serve::{check_reported_serving, may_serve, NotReady, ServeFacts};
 pub use violation::Violation;
--- a/crates/core/invariants/tests/rules.rs
+++ b/crates/core/invariants/tests/rules.rs
@@ -17,6 +17,7 @@
         (SendFacts { node: NodeStanding::Left, ..facts() }, SendDenied::NodeLeft),
         (SendFacts { deadline: NOW, ..facts() }, SendDenied::Late),
         (SendFacts { retry_deadline: Some(NOW), ..facts() }, SendDenied::RepeatWindow),
+        (SendFacts { has_input: true, ..facts() }, SendDenied::UnreadInput),
     ];
     for (facts, denied) in cases {
         assert_eq!(may_send(&facts), Err(denied));
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -290,9 +290,7 @@
         let core = &mut *self.core.borrow_mut();
         let Some(pending) = core.pending.get_mut(&id) else { return };
         let Some(attempt) = pending.attempts.get_mut(number) else { return };
-        if attempt.in_flight.take().is_none() {
-            return;
-        }
+        let Some((cancellation, _)) = attempt.in_flight.take() else { return };
         attempt.record_outcome(outcome.status, outcome.code);
         let (node, status) = (attempt.server, outcome.status);
         request_trace::event(|| Traced::Ended {
@@ -310,7 +308,10 @@
                 pending.in_flight().for_each(Cancellation::mark_answered);
             }
         }
-        let event = self.outcome_event(pending, number, outcome.status, outcome.cache_hit);
+        let mut event = self.outcome_event(pending, number, outcome.status, outcome.cache_hit);
+        if let Event::Outcome { elapsed, .. } = &mut event {
+            *elapsed = elapsed.saturating_sub(cancellation.rest_wait().as_nanos() as Nanos);
+        }
         self.feed(core, event);
         Self::forget(core, id);
     }
--- a/src/proxy/http/request_body.rs
+++ b/src/proxy/http/request_body.rs
@@ -246,6 +246,11 @@
         self.replay.get().may_send()
     }
 
+    /// Returns whether the last byte has arrived and been handed to an attempt.
+    pub fn is_whole(&self) -> bool {
+        self.whole.get()
+    }
+
     /// Returns once the last byte has arrived: the client's deadline runs from then.
     pub async fn whole(&self) {
         while !self.whole.get() {
--- a/src/proxy/upstream/attempt.rs
+++ b/src/proxy/upstream/attempt.rs
@@ -93,6 +93,8 @@
 pub struct Cancellation {
     socket: RefCell<Option<Rc<Socket>>>,
     request: Cell<RequestState>,
+    /// How long the attempt waited for a connection to have rested.
+    rest_wait: Cell<Duration>,
 }
 
 impl Cancellation {
@@ -112,6 +114,16 @@
         self.request.set(RequestState::Abandoned(steady_nanos()));
     }
 
+    /// Adds to the time that the attempt waited for a connection to have rested.
+    pub fn add_rest_wait(&self, waited: Duration) {
+        self.rest_wait.set(self.rest_wait.get() + waited);
+    }
+
+    /// Returns how long the attempt waited for a connection to have rested, which says nothing about its node.
+    pub fn rest_wait(&self) -> Duration {
+        self.rest_wait.get()
+    }
+
     /// Sets the connection that the attempt is written to.
     pub fn set_socket(&self, socket: &Rc<Socket>) {
         self.socket.replace(Some(socket.clone()));
--- a/src/proxy/upstream/mod.rs
+++ b/src/proxy/upstream/mod.rs
@@ -3,8 +3,10 @@
 pub(crate) mod attempt;
 pub(crate) mod attempt_policy;
 pub(crate) mod backend;
+mod idle_connections;
 pub(crate) mod load_assignment;
 mod pooled_connection;
+mod reuse;
 pub(crate) mod socket;
 
 use crate::api::{Entry, Nanos, ServerId, Settings, State, Status};
@@ -17,16 +19,17 @@
 use crate::proxy::upstream::attempt::{
     AttemptBody, AttemptLimits, AttemptOutcome, Cancellation, UpstreamRequest,
 };
-use crate::proxy::upstream::pooled_connection::{drive, Connection, GaugeGuard, Idle};
+use crate::proxy::upstream::idle_connections::IdleConnections;
+use crate::proxy::upstream::pooled_connection::{drive, Connection, GaugeGuard};
 use crate::proxy::upstream::socket::{FirstByte, Io, Socket};
 use crate::proxy::{Body, MAX_BUFFERED_BODY, MAX_READ_AHEAD};
 use hyper::client::conn::http1;
 use hyper::header::{HeaderValue, CONNECTION, HOST};
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::TokioIo;
 use rushquay_admin::{NodeCloseCause, RequestMetrics};
 use rushquay_fleet_budget::IdleTimeout;
-use rushquay_invariants::{may_send, NodeStanding, SendDenied, SendFacts};
+use rushquay_invariants::{may_send, NodeStanding, ResponseHistory, SendDenied, SendFacts};
 use rushquay_load_assignment::{BreakerLimit, Breakers, RoutePriority};
 use rushquay_sockets::{connect, ConnectError};
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -87,20 +90,12 @@
     ready: bool,
     /// Changes with every event that makes older connections unusable: a restart, a new address, a drain.
     epoch: u64,
-    /// Idle connections, the most recently used last.
-    idle: Vec<Idle>,
+    idle: IdleConnections,
     /// When the node joined its deduplication group; 0: when it was first listed.
     group_since: Nanos,
     stats: Rc<ConnectionStats>,
 }
 
-impl Node {
-    /// Closes its idle connections for this cause.
-    fn close_idle(&mut self, cause: NodeCloseCause) {
-        self.idle.drain(..).for_each(|idle| idle.connection.close(cause));
-    }
-}
-
 /// Connection and attempt counters of a node.
 #[derive(Default)]
 pub struct ConnectionStats {
@@ -136,6 +131,8 @@
     limits: RefCell<ConnectionLimits>,
     /// Adaptive idle timeout per machine kind: kinds differ in when they close idle connections.
     idle_timeouts: RefCell<FxHashMap<u32, IdleTimeout>>,
+    /// What followed the responses of each machine kind: nodes of a kind run the same program.
+    histories: RefCell<FxHashMap<u32, ResponseHistory>>,
     open: Rc<Cell<u32>>,
     epochs: Cell<u64>,
     /// Number of connections that were opened; it numbers them in the trace.
@@ -180,13 +177,14 @@
         limits: ConnectionLimits,
     ) -> Rc<Self> {
         let (nodes, open, epochs, opened, ready) = Default::default();
-        let idle_timeouts = RefCell::default();
+        let (idle_timeouts, histories) = Default::default();
         Rc::new(Upstreams {
             nodes,
             descriptors,
             metrics,
             limits: RefCell::new(limits),
             idle_timeouts,
+            histories,
             open,
             epochs,
             opened,
@@ -228,7 +226,7 @@
             nodes.retain(|server, node| {
                 let listed = named.contains(server);
                 if !listed {
-                    node.close_idle(NodeCloseCause::NodeChanged);
+                    node.idle.close_all(NodeCloseCause::NodeChanged);
                 }
                 listed
             });
@@ -236,7 +234,7 @@
         for (entry, addr) in entries {
             if entry.state == State::Gone {
                 if let Some(mut node) = nodes.remove(&entry.server) {
-                    node.close_idle(NodeCloseCause::NodeChanged);
+                    node.idle.close_all(NodeCloseCause::NodeChanged);
                 }
                 continue;
             }
@@ -248,11 +246,12 @@
             {
                 continue;
             }
-            old.iter_mut().for_each(|n| n.close_idle(NodeCloseCause::NodeChanged));
+            old.iter_mut().for_each(|n| n.idle.close_all(NodeCloseCause::NodeChanged));
             self.epochs.set(self.epochs.get() + 1);
             let epoch = self.epochs.get();
             let (stats, group_since) = old.map(|n| (n.stats.clone(), n.group_since)).unwrap_or_default();
-            let (addr, kind, started, idle) = (*addr, entry.kind, entry.started_at, Vec::new());
+            let (addr, kind, started, idle) =
+                (*addr, entry.kind, entry.started_at, IdleConnections::default());
             nodes.insert(entry.server, Node { addr, kind, started, ready, epoch, idle, group_since, stats });
         }
         self.ready.set(nodes.values().filter(|n| n.ready && n.addr.is_some()).count());
@@ -275,7 +274,7 @@
         for node in self.nodes.borrow_mut().values_mut() {
             self.epochs.set(self.epochs.get() + 1);
             node.epoch = self.epochs.get();
-            node.close_idle(NodeCloseCause::NodeChanged);
+            node.idle.close_all(NodeCloseCause::NodeChanged);
         }
     }
 
@@ -296,7 +295,7 @@
 
     /// Returns when the connection that has been idle the longest became idle.
     pub fn oldest_idle_since(&self) -> Option<Instant> {
-        self.nodes.borrow().values().filter_map(|n| n.idle.first()).map(|i| i.since).min()
+        self.nodes.borrow().values().filter_map(|n| n.idle.oldest_since()).min()
     }
 
     /// Returns whether any node accepts requests.
@@ -307,27 +306,29 @@
     /// Closes the idle connections to a node.
     pub fn close_idle(&self, server: ServerId) {
         if let Some(node) = self.nodes.borrow_mut().get_mut(&server) {
-            node.close_idle(NodeCloseCause::NodeChanged);
+            node.idle.close_all(NodeCloseCause::NodeChanged);
         }
     }
 
     /// Closes idle connections that their peer has closed or that exceeded the idle timeout.
     pub fn sweep(&self) {
         for node in self.nodes.borrow_mut().values_mut().filter(|n| !n.idle.is_empty()) {
-            let (timeout, before) = (self.idle_timeout(node.kind), node.idle.len());
-            node.idle.retain(|i| {
-                i.connection.cause.set(NodeCloseCause::Idle);
-                i.since.elapsed() < timeout && !i.connection.sender.is_closed()
-            });
-            fleet_stats::count(Kind::ClosedIdle, (before - node.idle.len()) as u64);
+            let closed = node.idle.sweep(self.idle_timeout(node.kind));
+            fleet_stats::count(Kind::ClosedIdle, closed as u64);
         }
     }
 
     /// Closes the connection that has been idle the longest, to free its descriptor. Returns false if no connection is idle.
     pub fn close_oldest_idle(&self) -> bool {
         let mut nodes = self.nodes.borrow_mut();
-        let oldest = nodes.values_mut().filter(|n| !n.idle.is_empty()).min_by_key(|n| n.idle[0].since);
-        oldest.map(|n| n.idle.remove(0).connection.close(NodeCloseCause::MadeRoom)).is_some()
+        let oldest = nodes.values_mut().filter(|n| !n.idle.is_empty()).min_by_key(|n| n.idle.oldest_since());
+        oldest.is_some_and(|node| node.idle.close_oldest(NodeCloseCause::MadeRoom))
+    }
+
+    /// Closes a connection to this node that is kept, to make room for a new one. Returns false if there is none.
+    fn close_resting(&self, server: ServerId) -> bool {
+        let mut nodes = self.nodes.borrow_mut();
+        nodes.get_mut(&server).is_some_and(|node| node.idle.close_oldest(NodeCloseCause::MadeRoom))
     }
 
     /// Sends one attempt and returns its outcome.
@@ -387,6 +388,8 @@
             node: if same { NodeStanding::Ready } else { NodeStanding::Left },
             deadline: deadlines.total,
             retry_deadline: deadlines.first_byte,
+            // The socket knows.
+            has_input: false,
         }
     }
 
@@ -413,13 +416,16 @@
     ) -> AttemptOutcome {
         loop {
             let Some(Target { addr, kind, epoch }) = self.target(server) else { return Status::Moot.into() };
-            let (mut connection, reused) = match self.take_idle(server) {
-                Some(connection) => (connection, true),
-                None => match self.connect(server, addr, importance).await {
-                    Ok(connection) => (connection, false),
-                    Err(status) => return status.into(),
-                },
-            };
+            let latest =
+                deadlines.first_byte.map_or(deadlines.total, |first_byte| first_byte.min(deadlines.total));
+            let (mut connection, reused) =
+                match self.take_rested(server, kind, epoch, latest, cancellation).await {
+                    Some(connection) => (connection, true),
+                    None => match self.connect(server, addr, kind, importance).await {
+                        Ok(connection) => (connection, false),
+                        Err(status) => return status.into(),
+                    },
+                };
             if connection.sender.ready().await.is_err() {
                 if reused {
                     continue;
@@ -440,12 +446,13 @@
                 deadline: deadlines.client,
                 ..pool.facts(server, epoch, deadlines, &cancellation_state)
             });
+            let rested = connection.socket.rested();
             request_trace::event(|| Event::Carried {
                 request: upstream_request.id(),
                 node: server,
                 connection: connection.number,
                 uses: connection.uses,
-                rested: connection.socket.rested(),
+                rested,
             });
             connection.socket.begin_message(MAX_RESPONSE_BYTES, Some(FirstByte { facts, time_left }));
             connection.uses += 1;
@@ -459,6 +466,13 @@
             });
             let Ok(response) = sent else {
                 if let Some(denied) = connection.socket.denied() {
+                    if denied == SendDenied::UnreadInput {
+                        self.close_unclean(server, kind, connection, rested);
+                        if reused {
+                            continue;
+                        }
+                        return Status::ConnectFailed.into();
+                    }
                     return self.denied_outcome(upstream_request, server, denied);
                 }
                 // Danger: once its last byte is written the request may have run, and must not be retried here.
@@ -470,6 +484,15 @@
                 }
                 return Status::ConnectFailed.into();
             };
+            // Danger: a response that came before the last byte of the request is another's. It would pass for proof of what became of
+            // a request that has not run, and will not once its connection is closed.
+            let is_sent =
+                connection.socket.is_written() && upstream_request.upload().is_none_or(|u| u.is_whole());
+            if reused && !is_sent {
+                self.record_unsolicited(server, kind, Duration::ZERO);
+                connection.close(NodeCloseCause::Unsolicited);
+                return Status::ConnectFailed.into();
+            }
             return self.read_response(server, kind, epoch, connection, reused, response).await;
         }
     }
@@ -485,12 +508,12 @@
         response: Response<hyper::body::Incoming>,
     ) -> AttemptOutcome {
         let closing = response.headers().get(CONNECTION).is_some_and(|v| v == "close");
+        connection.keeps_alive.set(!closing && response.version() == Version::HTTP_11);
         let ResponseReader { mut ended, reusable, long } = read(response).await;
         if !reused && ended.status == Status::Full && closing {
             // Danger: a node whose connection table is full answers a new connection like this and closes it, while it serves its
             // existing ones. That is a failed connect, not a full request queue.
-            fleet_stats::count(Kind::TurnedAway, 1);
-            self.adjust_idle_timeout(kind, IdleTimeout::connection_rejected);
+            self.on_connection_rejected(kind);
             ended.status = Status::ConnectFailed;
         } else if !reused {
             self.adjust_idle_timeout(kind, IdleTimeout::connection_accepted);
@@ -519,36 +542,23 @@
         Some(Target { addr: node.addr?, kind: node.kind, epoch: node.epoch })
     }
 
-    /// Takes the most recently used idle connection that can be reused, and closes those found unusable.
-    fn take_idle(&self, server: ServerId) -> Option<Connection> {
-        let mut nodes = self.nodes.borrow_mut();
-        let node = nodes.get_mut(&server)?;
-        let timeout = self.idle_timeout(node.kind);
-        while let Some(Idle { connection, since }) = node.idle.pop() {
-            if since.elapsed() >= timeout {
-                connection.close(NodeCloseCause::Idle);
-            } else if connection.is_reusable() {
-                connection.cause.set(NodeCloseCause::Failed);
-                return Some(connection);
-            } else {
-                connection.close(NodeCloseCause::NotClean);
-            }
-        }
-        None
-    }
-
-    /// Returns a connection to the pool if it can be reused and the node has not changed since `epoch`.
-    fn return_idle(&self, server: ServerId, epoch: u64, connection: Connection) {
-        if !connection.is_reusable() {
+    /// Closes a connection that had ended, or on which bytes had arrived, before the request was written. `rested`: the time since its
+    /// last response; `None`: it was new, and the node's connection table is full.
+    fn close_unclean(&self, server: ServerId, kind: u32, connection: Connection, rested: Option<Duration>) {
+        if !connection.socket.has_unread_bytes() {
             return connection.close(NodeCloseCause::NotClean);
         }
-        match self.nodes.borrow_mut().get_mut(&server).filter(|n| n.epoch == epoch && n.ready) {
-            Some(node) => {
-                connection.socket.begin_rest();
-                node.idle.push(Idle { connection, since: Instant::now() });
-            }
-            None => connection.close(NodeCloseCause::NodeChanged),
+        match rested {
+            Some(rested) => self.record_unsolicited(server, kind, rested),
+            None => self.on_connection_rejected(kind),
         }
+        connection.close(NodeCloseCause::Unsolicited);
+    }
+
+    /// Records that a node has rejected a new connection because its connection table is full.
+    fn on_connection_rejected(&self, kind: u32) {
+        fleet_stats::count(Kind::TurnedAway, 1);
+        self.adjust_idle_timeout(kind, IdleTimeout::connection_rejected);
     }
 
     /// Opens a new connection.
@@ -556,9 +566,10 @@
     /// # Errors
     /// The outcome of the attempt.
     async fn connect(
-        &self,
+        self: &Rc<Self>,
         server: ServerId,
         addr: SocketAddr,
+        kind: u32,
         importance: RoutePriority,
     ) -> Result<Connection, Status> {
         let stats = self.stats(server).ok_or(Status::Moot)?;
@@ -567,7 +578,7 @@
             (limits.connect_timeout, limits.max_node_connections, limits.breakers.clone())
         };
         // An attempt over a limit was never sent, and does not count against the node.
-        if stats.connections.get() >= max_node_connections {
+        if stats.connections.get() >= max_node_connections && !self.close_resting(server) {
             return Err(Status::Moot);
         }
         let _pending = match &breakers {
@@ -601,9 +612,28 @@
         let (sender, driver) = handshake.await.map_err(|_| Status::ConnectFailed)?;
         self.opened.set(self.opened.get() + 1);
         let number = self.opened.get();
-        let driver = tokio::task::spawn_local(drive(driver, server, number, socket.clone())).abort_handle();
+        let (pool, driven) = (Rc::downgrade(self), socket.clone());
+        let driving = async move {
+            if let Some(delay) = drive(driver, driven).await {
+                request_trace::event(|| Event::Unsolicited { node: server, connection: number, delay });
+                pool.upgrade().into_iter().for_each(|pool| pool.record_unsolicited(server, kind, delay));
+            }
+        };
+        let driver = tokio::task::spawn_local(driving).abort_handle();
         let (cause, metrics) = (Cell::new(NodeCloseCause::Failed), self.metrics.clone());
-        Ok(Connection { sender, socket, driver, number, server, uses: 0, cause, metrics, _gauges: gauges })
+        let keeps_alive = Cell::new(true);
+        Ok(Connection {
+            sender,
+            socket,
+            driver,
+            number,
+            server,
+            uses: 0,
+            keeps_alive,
+            cause,
+            metrics,
+            _gauges: gauges,
+        })
     }
 
     /// Connects to a node, and retries while this machine is short of resources. Danger: counted as connect failures, a local shortage
--- a/src/proxy/upstream/pooled_connection.rs
+++ b/src/proxy/upstream/pooled_connection.rs
@@ -10,8 +10,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
 
 /// An open connection, closed on drop.
 pub(super) struct Connection {
@@ -23,6 +23,8 @@
     pub server: ServerId,
     /// Number of requests sent on it.
     pub uses: u32,
+    /// Whether its last response allows another request.
+    pub keeps_alive: Cell<bool>,
     /// The cause that is counted if the connection is closed now.
     pub cause: Cell<NodeCloseCause>,
     pub metrics: Arc<RequestMetrics>,
@@ -46,13 +48,18 @@
 }
 
 impl Connection {
-    /// Returns whether the connection is open and no bytes follow the last response. Danger: responses carry no id, so leftover bytes
-    /// would be taken for the response to the next request. Hyper closes a connection if it finds such bytes in its own buffer,
-    /// before it returns the response; this checks the kernel's buffer.
-    pub fn is_reusable(&self) -> bool {
+    /// Returns whether the connection is open and no bytes follow the last response. Hyper closes a connection if it finds such bytes in
+    /// its own buffer, before it returns the response; this checks the kernel's buffer.
+    pub fn is_clean(&self) -> bool {
         !self.sender.is_closed() && self.socket.has_no_input()
     }
 
+    /// Returns whether its node sent bytes behind the last response, which the response did not announce as its end.
+    pub fn has_surplus(&self) -> bool {
+        self.socket.has_unread_bytes()
+            || self.keeps_alive.get() && self.sender.is_closed() && !self.socket.is_read_closed()
+    }
+
     /// Closes the connection and counts this cause.
     pub fn close(self, cause: NodeCloseCause) {
         self.cause.set(cause);
@@ -61,6 +68,9 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        if self.socket.unsolicited().is_some() {
+            self.cause.set(NodeCloseCause::Unsolicited);
+        }
         self.metrics.node_closes.one_more(self.cause.get());
         request_trace::event(|| Event::NodeClosed {
             node: self.server,
@@ -73,21 +83,13 @@
     }
 }
 
-/// An idle connection, and when it became idle.
-pub(super) struct Idle {
-    pub connection: Connection,
-    pub since: Instant,
-}
-
-/// Drives a connection until it ends, and traces bytes that its node sent while no request was outstanding.
+/// Drives a connection until it ends. Returns how long after its last response the node sent bytes that no request had asked for;
+/// `None`: it sent none.
 pub(super) async fn drive(
     driver: http1::Connection<TokioIo<Io>, Body>,
-    server: ServerId,
-    number: u64,
     socket: Rc<Socket>,
-) {
+) -> Option<Duration> {
+    // An error reaches the attempt through its sender.
     let _ = driver.await;
-    if let Some(delay) = socket.unsolicited() {
-        request_trace::event(|| Event::Unsolicited { node: server, connection: number, delay });
-    }
+    socket.unsolicited()
 }
--- a/src/proxy/upstream/socket.rs
+++ b/src/proxy/upstream/socket.rs
@@ -190,6 +190,11 @@
         self.peek().is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Returns whether the kernel holds unread bytes.
+    pub fn has_unread_bytes(&self) -> bool {
+        self.peek().is_ok_and(|n| n > 0)
+    }
+
     /// Shuts down both directions immediately, even if others still hold the stream.
     pub fn close(&self) {
         let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Both);
@@ -271,7 +276,8 @@
     fn check_first_byte(&self) -> io::Result<Option<SentAttempt>> {
         let first_byte = self.first_byte.borrow();
         let Some(first_byte) = first_byte.as_ref() else { return Ok(None) };
-        let facts = (first_byte.facts)();
+        // Danger: the runtime may have learned of no bytes that arrived since the connection was chosen.
+        let facts = SendFacts { has_input: !self.has_no_input(), ..(first_byte.facts)() };
         match may_send(&facts) {
             Ok(()) => Ok(Some(SentAttempt { facts, announced_time_left: first_byte.time_left })),
             Err(denied) => {
--- a/tests/unsolicited/node.rs
+++ b/tests/unsolicited/node.rs
@@ -35,6 +35,20 @@
     Closing,
 }
 
+impl Form {
+    pub const ALL: [Form; 9] = [
+        Form::Copy,
+        Form::Miss,
+        Form::Unprocessed,
+        Form::Error,
+        Form::LongChunked,
+        Form::Pieces,
+        Form::Beginning,
+        Form::Interim,
+        Form::Closing,
+    ];
+}
+
 /// How often, when and in which form a node sends what nobody asked for.
 #[derive(Clone, Debug)]
 pub struct Surplus {
