Drop a list that nobody asked for, so that it brings no drained node back

Measured from outside: a second whole list 30 ms behind an answer and of its version, in which a drained node was ready: 199 of 1,306 requests went to that node, up to 6 s later.

Cause: src/proxy/discovery/mod.rs and control-service/src/discovery.rs took whatever came first on the kept connection for the answer to the call, and asked for the whole list, which is taken whatever it says, on the connection that had just brought a list that didn't follow.

Change: ListCursor::is_unsolicited: entries of the version in use, less than nine tenths into a watch's hold, answer nothing (discovery answers a watch when there is something newer, or at the end of the hold). They are dropped with their connection; a rejected list takes its connection along; the proxy looks for input before the next call.

--- a/crates/core/endpoints/src/cursor.rs
+++ b/crates/core/endpoints/src/cursor.rs
@@ -1,6 +1,6 @@
 //! The cursor of a list watch: what to request from discovery next, and which responses to accept.
 
-use crate::EndpointList;
+use crate::{EndpointList, Nanos};
 
 /// The version of discovery's list that this client has reached.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -43,6 +43,14 @@
         }
     }
 
+    /// Returns whether a list cannot be the response to the watch requested last, which discovery holds for `hold` and which was answered
+    /// after `elapsed`. Discovery answers a watch when there is something newer, or at the end of the hold. Danger: a response of
+    /// HTTP/1.1 does not name its request. A second copy of an earlier one, sent on the same connection, would be taken for the response
+    /// to this watch, and could restore endpoints that are draining. A response without entries changes nothing, whatever it is.
+    pub fn is_unsolicited(self, list: &EndpointList, hold: Nanos, elapsed: Nanos) -> bool {
+        self.version == Some(list.version) && !list.servers.is_empty() && elapsed < hold / 10 * 9
+    }
+
     /// Accepts a response unless it is older than the list in use, or is an empty whole list that would replace it.
     /// Danger: an instance of discovery that lags behind would restore endpoints that are gone, and one that has just
     /// started knows no endpoints. After a rejected response the whole list is requested once more, and the response to
--- a/crates/core/endpoints/tests/list_cursor.rs
+++ b/crates/core/endpoints/tests/list_cursor.rs
@@ -40,3 +40,20 @@
     assert_eq!(cursor.accept(&list(1, true, 0)), CursorUpdate::Accepted, "another discovery");
     assert_eq!(ListCursor::default().accept(&list(0, true, 0)), CursorUpdate::Accepted);
 }
+
+#[test]
+fn entries_of_the_same_version_before_the_end_of_a_hold_are_unsolicited() {
+    const HOLD: u64 = 1_000;
+    let cursor = ListCursor::at(Some(41));
+    for same in [list(41, true, 1), list(41, false, 1)] {
+        assert!(cursor.is_unsolicited(&same, HOLD, 30));
+        assert!(!cursor.is_unsolicited(&same, HOLD, HOLD), "the hold has ended");
+        assert!(!cursor.is_unsolicited(&same, 0, 30), "it was to be answered at once");
+        assert!(!ListCursor::default().is_unsolicited(&same, HOLD, 30), "the whole list was requested");
+    }
+    assert!(!cursor.is_unsolicited(&list(41, false, 0), HOLD, 30), "it changes nothing");
+    // What is older is rejected, and the whole list requested.
+    for other in [list(42, false, 1), list(40, true, 1)] {
+        assert!(!cursor.is_unsolicited(&other, HOLD, 30));
+    }
+}
--- a/crates/services/control-service/src/discovery.rs
+++ b/crates/services/control-service/src/discovery.rs
@@ -7,12 +7,12 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use rushquay_endpoints::{CursorUpdate, EndpointList, ListCursor};
+use rushquay_endpoints::{CursorUpdate, EndpointList, ListCursor, Nanos};
 use rushquay_sockets::{connect, ConnectError, RetryStream};
 use rushquay_xds::client::Backoff;
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -69,37 +69,45 @@
     }
 }
 
-/// Connects and watches until an error occurs.
+/// Watches on one connection after another until an error occurs.
 async fn watch(
     addr: SocketAddr,
     events: &mpsc::Sender<SourceEvent>,
     backoff: &mut Backoff,
 ) -> Result<Infallible, WatchError> {
-    let stream = timeout(CONNECT_TIMEOUT, connect(addr)).await.map_err(|_| WatchError::ConnectTimeout)?;
-    let stream = stream.map_err(WatchError::Connect)?;
-    let io = TokioIo::new(RetryStream::new(stream));
-    let (mut sender, connection) = http1::handshake(io).await?;
-    let driver = tokio::spawn(connection);
-    let ended = watch_on(&mut sender, addr, events, backoff).await;
-    driver.abort();
-    ended
+    let mut cursor = ListCursor::default();
+    loop {
+        let stream = timeout(CONNECT_TIMEOUT, connect(addr)).await.map_err(|_| WatchError::ConnectTimeout)?;
+        let stream = stream.map_err(WatchError::Connect)?;
+        let io = TokioIo::new(RetryStream::new(stream));
+        let (mut sender, connection) = http1::handshake(io).await?;
+        let driver = tokio::spawn(connection);
+        let ended = watch_on(&mut sender, addr, &mut cursor, events, backoff).await;
+        driver.abort();
+        ended?;
+    }
 }
 
-/// Watches over a connection until an error occurs.
+/// Watches over a connection until an error occurs, or a list comes that is not the response to the last request. Danger: the true
+/// response may still come, and would be taken for the response to the next request.
 async fn watch_on(
     sender: &mut SendRequest<Empty<Bytes>>,
     addr: SocketAddr,
+    cursor: &mut ListCursor,
     events: &mpsc::Sender<SourceEvent>,
     backoff: &mut Backoff,
-) -> Result<Infallible, WatchError> {
-    let mut cursor = ListCursor::default();
+) -> Result<(), WatchError> {
     loop {
         let hold = cursor.version().map_or(Duration::ZERO, |_| WATCH_HOLD);
-        let response = timeout(hold + RESPONSE_TIMEOUT, request_list(sender, addr, cursor)).await;
+        let started = Instant::now();
+        let response = timeout(hold + RESPONSE_TIMEOUT, request_list(sender, addr, *cursor)).await;
         let list = response.map_err(|_| WatchError::ResponseTimeout)??;
         backoff.worked();
-        if cursor.accept(&list) == CursorUpdate::Rejected {
-            continue;
+        let elapsed = started.elapsed().as_nanos() as Nanos;
+        if cursor.is_unsolicited(&list, hold.as_nanos() as Nanos, elapsed)
+            || cursor.accept(&list) == CursorUpdate::Rejected
+        {
+            return Ok(());
         }
         if events.send(SourceEvent::EndpointList(list)).await.is_err() {
             return Err(WatchError::ServiceEnded);
@@ -124,3 +132,6 @@
     }
     serde_json::from_slice(&body.to_bytes()).map_err(WatchError::Malformed)
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/proxy/discovery/mod.rs
+++ b/src/proxy/discovery/mod.rs
@@ -2,7 +2,9 @@
 
 pub(crate) mod endpoint_list;
 
+use crate::api::Nanos;
 use crate::proxy::discovery::endpoint_list::EndpointFeed;
+use crate::proxy::http::request_body::steady_nanos;
 use crate::proxy::listener::descriptors::Descriptors;
 use crate::proxy::observability::fleet_stats::{self, Kind};
 use crate::proxy::upstream::socket::{Io, Socket};
@@ -35,6 +37,15 @@
     members: EndpointList,
     /// The `Date` header: Unix time in nanoseconds by discovery's clock; `None`: it is missing or invalid.
     date: Option<u64>,
+    /// How long discovery was asked to hold the call, and how long the response took.
+    hold: Nanos,
+    elapsed: Nanos,
+}
+
+/// A connection that is kept for the next call.
+struct KeptConnection {
+    sender: SendRequest<Body>,
+    socket: Rc<Socket>,
 }
 
 /// Parses an HTTP date to Unix time in nanoseconds.
@@ -80,8 +91,8 @@
     schedule: WatchSchedule,
     /// Danger: if these descriptors came out of the clients' budget, a flood of clients would cut the proxy off from the endpoint list.
     descriptors: Rc<Descriptors>,
-    /// The connection that is kept for the next call.
-    sender: Option<SendRequest<Body>>,
+    /// The connection of the last call, kept for the next watch.
+    kept: Option<KeptConnection>,
     outage: Outage,
 }
 
@@ -93,7 +104,7 @@
             cursor: ListCursor::at(version),
             schedule: WatchSchedule::new(mode),
             descriptors: Descriptors::new(DESCRIPTORS),
-            sender: None,
+            kept: None,
             outage: Outage::default(),
         }
     }
@@ -124,7 +135,18 @@
 
     /// Passes a list on to the feed. A list that does not follow the current one is dropped, and the full list requested.
     fn on_list(&mut self, response: ListResponse, feed: &EndpointFeed) {
-        let ListResponse { members, date } = response;
+        let ListResponse { members, date, hold, elapsed } = response;
+        if self.cursor.is_unsolicited(&members, hold, elapsed) {
+            fleet_stats::count(Kind::ListBroken, 1);
+            crate::proxy::log(format_args!(
+                "discovery at {}: list version {} came {} ms into a watch for a newer one; it is dropped with its connection",
+                self.addr,
+                members.version,
+                elapsed / 1_000_000
+            ));
+            self.kept = None;
+            return self.schedule.answered();
+        }
         date.into_iter().for_each(|date| feed.on_response_date(date));
         if self.cursor.accept(&members) == CursorUpdate::Rejected {
             fleet_stats::count(Kind::ListBroken, 1);
@@ -135,6 +157,8 @@
                 members.version,
                 members.servers.len()
             ));
+            // Danger: the response to the next call is accepted unconditionally, so nothing that is still on its way may pass for it.
+            self.kept = None;
             return self.schedule.list_rejected();
         }
         self.schedule.answered();
@@ -151,7 +175,7 @@
         if let Some(n) = self.outage.failed(&error.reason) {
             crate::proxy::log(format_args!("discovery at {}: {} (failure {n})", self.addr, error.reason));
         }
-        self.sender = None;
+        self.kept = None;
         if self.schedule.failed(error.failure) {
             feed.on_discovery_failure();
         }
@@ -160,7 +184,7 @@
     /// Continues at another address with the full list: versions there may differ.
     fn move_to(&mut self, addr: SocketAddr) {
         crate::proxy::log(format_args!("discovery is now at {addr}"));
-        (self.addr, self.sender) = (addr, None);
+        (self.addr, self.kept) = (addr, None);
         self.cursor.reset();
         self.schedule.address_changed();
     }
@@ -176,29 +200,26 @@
 
     /// Requests the list, or changes to it that occur within `hold` nanoseconds, on the kept or a new connection.
     async fn exchange(&mut self, hold: u64) -> Result<ListResponse, CallError> {
-        let idle_sender = match self.sender.take() {
-            // A kept connection that was closed in the meantime is no failure of discovery.
-            Some(mut sender) => sender.ready().await.is_ok().then_some(sender),
-            None => None,
-        };
-        let mut sender = match idle_sender {
-            Some(sender) => sender,
+        let mut connection = match self.take_kept().await {
+            Some(connection) => connection,
             None => self.connect().await?,
         };
+        let started = steady_nanos();
         let path = self.cursor.path(u128::from(hold / 1_000_000));
         fleet_stats::count(self.cursor.version().map_or(Kind::ListWhole, |_| Kind::ListWatch), 1);
         let request = Request::get(path).header(HOST, self.addr.to_string()).body(Body::default());
-        let response = sender.send_request(request.map_err(CallError::refused)?).await;
+        let response = connection.sender.send_request(request.map_err(CallError::refused)?).await;
         let (head, body) = response.map_err(|e| CallError::broken("no response", e))?.into_parts();
         let body = Limited::new(body, MAX_LIST_BYTES).collect().await;
         let body = body.map_err(|e| CallError::broken("invalid response body", e))?;
-        self.sender = Some(sender);
+        let elapsed = steady_nanos().saturating_sub(started);
+        self.kept = Some(connection);
         if head.status != StatusCode::OK {
             return Err(CallError::refused(format_args!("answered {}", head.status.as_u16())));
         }
         let date = head.headers.get(DATE).and_then(|date| parse_http_date(date.to_str().ok()?));
         match serde_json::from_slice(&body.to_bytes()) {
-            Ok(members) => Ok(ListResponse { members, date }),
+            Ok(members) => Ok(ListResponse { members, date, hold, elapsed }),
             Err(e) => {
                 self.cursor.request_whole_list();
                 Err(CallError::refused(format_args!("invalid endpoint list: {e}")))
@@ -206,16 +227,24 @@
         }
     }
 
-    async fn connect(&self) -> Result<SendRequest<Body>, CallError> {
+    /// Takes the kept connection if it can carry the next call. One that was closed in the meantime is no failure of discovery.
+    async fn take_kept(&mut self) -> Option<KeptConnection> {
+        let mut kept = self.kept.take()?;
+        kept.sender.ready().await.ok()?;
+        kept.socket.has_no_input().then_some(kept)
+    }
+
+    async fn connect(&self) -> Result<KeptConnection, CallError> {
         let permit =
             self.descriptors.take().ok_or_else(|| CallError::refused("no file descriptor available"))?;
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(self.addr)).await;
         let stream = connecting.map_err(|_| CallError::silent("connect timed out"))?;
         let stream = stream.map_err(|e| CallError::broken("connect failed", e.source()))?;
-        let io = TokioIo::new(Io(Socket::new(stream, permit)));
-        let (sender, connection) =
-            http1::handshake(io).await.map_err(|e| CallError::broken("connect failed", e))?;
-        tokio::task::spawn_local(connection);
-        Ok(sender)
+        let socket = Socket::new(stream, permit);
+        let (sender, driver) = http1::handshake(TokioIo::new(Io(socket.clone())))
+            .await
+            .map_err(|e| CallError::broken("connect failed", e))?;
+        tokio::task::spawn_local(driver);
+        Ok(KeptConnection { sender, socket })
     }
 }
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -184,3 +184,21 @@
     asked.reply("200 OK", &format!("Date: {date}\r\n"), &list(42, true, &servers).to_string());
     proxy.logged("nodes' starts go by discovery's");
 }
+
+/// Guards against: a second whole list that nobody asked for, behind an answer and of its version, brings a drained node back.
+#[test]
+fn a_list_that_nobody_asked_for_brings_no_drained_node_back() {
+    let f = followed(&[]);
+    let mut watch = f.discovery.take();
+    watch.request();
+    watch.reply("200 OK", "", &f.drained(42));
+    assert!(watch.request().line.contains("from=42&"));
+    watch.reply("200 OK", "", &list(42, true, &[member("c1", f.cache.addr, "std", "ready")]).to_string());
+    // Where it came from nothing more is believed.
+    let mut again = f.discovery.take();
+    assert!(again.request().line.contains("from=42&"));
+    assert_eq!(watch.read(), None);
+    f.refuses();
+    again.reply("200 OK", "", &list(43, false, &[member("c1", f.cache.addr, "std", "ready")]).to_string());
+    assert!(again.request().line.contains("from=43&"), "what is newer is taken as ever");
+}
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -308,17 +308,21 @@
         watch.reply("200 OK", "Connection: close\r\n", text);
         serves(what);
     }
-    // Emptied, and older: the whole list is asked for at once, and a good one goes on.
+    // Emptied, and older: the whole list is asked for at once, on a connection of its own, and a good one goes on.
     let mut watch = r.discovery.take();
     assert_eq!(watch.request().line, "GET /catalog/members HTTP/1.1");
     watch.reply("200 OK", "", &gone);
+    let mut emptied = watch;
+    let mut watch = r.discovery.take();
     assert!(!watch.request().line.contains("from="), "the whole list");
+    assert_eq!(emptied.read(), None, "nothing more is asked where it came from");
     serves("emptied");
     let whole = [member("c1", r.cache.addr, "std", "ready"), member("o1", r.origin.addr, "origin", "ready")];
     watch.reply("200 OK", "", &list(43, true, &whole).to_string());
     assert!(watch.request().line.contains("from=43"));
     watch.reply("200 OK", "", &list(40, true, &[member("x", r.origin.addr, "std", "ready")]).to_string());
-    assert!(!watch.request().line.contains("from="), "the whole list");
+    assert_eq!(watch.read(), None, "nothing more is asked where it came from");
+    assert!(!r.discovery.take().request().line.contains("from="), "the whole list");
     serves("older");
 }
 
