Wait out a shortage of buffers at the look before the first byte of an attempt

Cause: the look before the first byte (socket.rs, check_first_byte) took any error for input, also one that says nothing of the connection; on a new connection the attempt then counted as not connected.

Change: a shortage there is waited out like one of a write, by the same path.

--- a/src/proxy/upstream/socket.rs
+++ b/src/proxy/upstream/socket.rs
@@ -190,6 +190,18 @@
         self.peek().is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Returns whether the kernel holds unread bytes or an end of stream, of which the runtime may not have learned yet.
+    ///
+    /// # Errors
+    /// The system is short of buffers, so nothing is known for now.
+    fn has_input(&self) -> io::Result<bool> {
+        match self.peek() {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(false),
+            Err(e) if classify(&e) == ErrorClass::Shortage => Err(e),
+            Ok(_) | Err(_) => Ok(true),
+        }
+    }
+
     /// Returns whether the kernel holds unread bytes.
     pub fn has_unread_bytes(&self) -> bool {
         self.peek().is_ok_and(|n| n > 0)
@@ -276,8 +288,7 @@
     fn check_first_byte(&self) -> io::Result<Option<SentAttempt>> {
         let first_byte = self.first_byte.borrow();
         let Some(first_byte) = first_byte.as_ref() else { return Ok(None) };
-        // Danger: the runtime may have learned of no bytes that arrived since the connection was chosen.
-        let facts = SendFacts { has_input: !self.has_no_input(), ..(first_byte.facts)() };
+        let facts = SendFacts { has_input: self.has_input()?, ..(first_byte.facts)() };
         match may_send(&facts) {
             Ok(()) => Ok(Some(SentAttempt { facts, announced_time_left: first_byte.time_left })),
             Err(denied) => {
@@ -367,10 +378,12 @@
                 socket.stalled.set(true);
                 return Poll::Pending;
             }
-            let checked = socket.check_first_byte()?;
-            let sent = socket.write_interim().and_then(|()| send(&socket.stream));
+            let sent = socket.check_first_byte().and_then(|checked| {
+                socket.write_interim()?;
+                Ok((checked, send(&socket.stream)?))
+            });
             match sent {
-                Ok(n) => {
+                Ok((checked, n)) => {
                     socket.write_started.set(true);
                     socket.shortages.set(0);
                     socket.last_activity.set(Instant::now());
