--- a/review/standin/src/bin/case2.rs
+++ b/review/standin/src/bin/case2.rs
@@ -1,35 +1,30 @@
-//! A planned restart in the middle of a slow upload, which comes whole before the proxy ends.
+//! Many clients whose bodies come in small pieces: does the proxy stay within its memory?
 
 use review_standin::*;
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
-const LENGTH: usize = 200_000;
-/// The client writes at 64 kB a second.
-const PIECE: usize = 3_200;
-const PACE: Duration = Duration::from_millis(50);
-/// How long the origin takes for a write.
-const ORIGIN_TIME: Duration = Duration::from_millis(600);
-/// SIGTERM comes this long after the upload began.
-const TERM_AT: Duration = Duration::from_millis(850);
-/// SIGKILL comes the longest deadline (2 s here) and 0.7 s after SIGTERM.
-const KILL_AFTER: Duration = Duration::from_millis(2700);
-/// The client waits for 1 s; up to half a second later an answer is late and not lost.
-const PATIENCE: Duration = Duration::from_millis(1500);
+/// Clients hold a third of the 1,024 descriptors at most.
+const CLIENTS: usize = 200;
+/// Under 64 KiB: such bodies are held whole.
+const LENGTH: usize = 64_000;
+/// Bytes a second at which a client writes its body.
+const RATE: usize = 64_000;
+/// The pieces that the bodies come in, and without trouble.
+const PIECE: usize = 256;
+const LARGE_PIECE: usize = 16_000;
 
 fn main() {
     end_on_panic();
     let record = Record::create(&std::env::args().nth(1).expect("record.txt"));
-    let noted = record.clone();
-    let origin = node(move |request| {
-        noted.line(format!(
-            "origin: runs {} id={} ({} bytes)",
-            request.line,
-            request.id(),
-            request.body.len()
-        ));
-        Reply::Answer(ORIGIN_TIME, "200 OK", "", "stored".into())
-    });
+    let piece = if has_trouble() { PIECE } else { LARGE_PIECE };
+    let pace = Duration::from_micros((1_000_000 * piece / RATE) as u64);
+    record.line(format!(
+        "{CLIENTS} clients, bodies of {LENGTH} bytes in pieces of {piece}, {RATE} bytes a second each"
+    ));
+    let origin = node(|_| Reply::Answer(Duration::from_millis(20), "200 OK", "", "stored".into()));
     let cache = node(|_| {
         Reply::Answer(Duration::from_millis(5), "404 Not Found", "X-Lookup: miss\r\n", String::new())
     });
@@ -40,66 +35,74 @@
     let (_discovery, addr) = Discovery::start(&record, 41, list(41, &entries));
     let classes = [
         class("schedule-read", "safe", 500, 1000, 5000, 0.5),
-        class("setpoint-read", "safe", 150, 300, 5000, 0.2),
-        class("history-read", "safe", 500, 2000, 5000, 0.2),
         class("setpoint-change", "keyed", 300, 1000, 2000, 0.5),
     ];
     let settings = settings(&GSBHSB, &classes.join(","));
     let Some(proxy) = Proxy::start(&record, &settings, &list(41, &entries), addr, 1024) else {
         cannot_run(&record, "the proxy did not become ready");
     };
-    let Ok(mut client) = Client::to(proxy.addr) else { cannot_run(&record, "no connection to the proxy") };
-    let (to_writer, noted) = (client.stream.try_clone().expect("a second handle"), record.clone());
-    let upload = thread::spawn(move || {
-        let mut writer = Client::of(to_writer);
+    // The platform kills a proxy that goes over its memory.
+    let (platform, noted) = (proxy.clone(), record.clone());
+    let watch = thread::spawn(move || {
+        let (until, mut peak) = (Instant::now() + Duration::from_secs(6), 0);
+        while Instant::now() < until && platform.ended().is_none() {
+            peak = platform.resident_bytes().max(peak);
+            if peak > MEMORY_MB << 20 {
+                noted.line(format!(
+                    "platform: {} MB resident, over the limit of {MEMORY_MB} MB: SIGKILL",
+                    peak >> 20
+                ));
+                platform.signal("KILL");
+                return peak;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        peak
+    });
+    let mut streams: Vec<TcpStream> = Vec::new();
+    for n in 0..CLIENTS {
+        let Ok(mut stream) = TcpStream::connect(proxy.addr) else {
+            cannot_run(&record, "no connection to the proxy")
+        };
+        let _ = stream.set_nodelay(true);
         let head = format!(
-            "PUT /setpoint-change/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: id-1\r\n\
-             Idempotency-Key: key-1\r\nX-Time-Left: 1.000\r\nContent-Length: {LENGTH}\r\n\r\n"
+            "PUT /setpoint-change/{n:016x} HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: id-{n}\r\n\
+             Idempotency-Key: key-{n}\r\nX-Time-Left: 1.000\r\nContent-Length: {LENGTH}\r\n\r\n"
         );
-        let begun = Instant::now();
-        noted
-            .line(format!("client: begins PUT id=id-1, {LENGTH} bytes at 64 kB a second, X-Time-Left=1.000"));
-        writer.write(head.as_bytes())?;
-        let body = vec![b'v'; LENGTH];
-        for (n, piece) in body.chunks(PIECE).enumerate() {
-            thread::sleep((PACE * n as u32).saturating_sub(begun.elapsed()));
-            writer.write(piece)?;
+        if stream.write_all(head.as_bytes()).is_err() {
+            cannot_run(&record, "a head could not be written");
         }
-        noted.line("client: the last byte is written");
-        Ok::<Instant, std::io::Error>(Instant::now())
-    });
-    thread::sleep(TERM_AT);
-    let killer = if has_trouble() {
-        record.line("platform: SIGTERM to the proxy");
-        let told = Instant::now();
-        proxy.signal("TERM");
-        let noted = record.clone();
-        Some(thread::spawn(move || {
-            while told.elapsed() < KILL_AFTER {
-                if let Some(status) = proxy.ended() {
-                    let after = told.elapsed().as_secs_f64();
-                    noted.line(format!("proxy: ended by itself {after:.3} s after SIGTERM, {status}"));
-                    return;
-                }
-                thread::sleep(Duration::from_millis(5));
-            }
-            noted.line("platform: SIGKILL to the proxy");
-            proxy.signal("KILL");
-        }))
-    } else {
-        None
-    };
-    let written = match upload.join().expect("the client") {
-        Ok(written) => written,
-        Err(e) => cannot_run(&record, &format!("the upload was cut off: {e}")),
-    };
-    let answer = client.answer(PATIENCE.saturating_sub(written.elapsed()));
-    let after = written.elapsed().as_secs_f64();
-    let text = match &answer {
-        Ok(answer) => format!("answered {} {after:.3} s after the last byte", answer.status()),
-        Err(why) => format!("no answer: {why}, {after:.3} s after the last byte"),
-    };
-    record.line(format!("client: id=id-1 {text}"));
-    let _ended = killer.map(thread::JoinHandle::join);
-    verdict(&record, answer.is_err(), &text);
+        streams.push(stream);
+    }
+    record.line(format!("clients: {CLIENTS} heads are written, the bodies begin"));
+    let (body, begun) = (vec![b'v'; LENGTH], Instant::now());
+    let mut cut_off = 0;
+    for (n, part) in body.chunks(piece).enumerate() {
+        thread::sleep((pace * n as u32).saturating_sub(begun.elapsed()));
+        for stream in &mut streams {
+            cut_off += usize::from(stream.write_all(part).is_err());
+        }
+    }
+    record.line(format!(
+        "clients: the last bytes are written {:.3} s after the first, {cut_off} pieces could not be written",
+        begun.elapsed().as_secs_f64()
+    ));
+    let (mut served, mut refused, mut other, mut none) = (0, 0, 0, 0);
+    for stream in streams {
+        match Client::of(stream).answer(Duration::from_secs(2)).as_ref().map(Message::status) {
+            Ok(200) => served += 1,
+            Ok(429 | 503) => refused += 1,
+            Ok(_) => other += 1,
+            Err(_) => none += 1,
+        }
+    }
+    record.line(format!(
+        "clients: {served} served, {refused} refused, {other} failed, {none} without an answer"
+    ));
+    let peak = watch.join().expect("the platform");
+    let text = format!(
+        "at most {:.1} MB resident of {MEMORY_MB} MB; {none} of {CLIENTS} without an answer",
+        peak as f64 / f64::from(1 << 20)
+    );
+    verdict(&record, peak > MEMORY_MB << 20, &text);
 }
--- a/review/standin/src/bin/case3.rs
+++ b/review/standin/src/bin/case3.rs
@@ -1,12 +1,15 @@
-//! A long setpoint change while the receiver stops reading and keeps the connection open.
+//! Long setpoint changes while the receiver stops reading and keeps the connection open.
 
 use review_standin::*;
 use std::io::BufReader;
+use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Over what the proxy's system holds back for a receiver that does not read, and little enough for the client to write all of it.
-const LENGTH: usize = 4 << 20;
+/// Lengths of the bodies in MiB.
+const LENGTHS: [usize; 4] = [3, 4, 5, 6];
+/// A body that is not written by then has not been taken.
+const WRITE_PATIENCE: Duration = Duration::from_secs(3);
 /// The client waits for 1 s; up to half a second later an answer is late and not lost.
 const LATEST: Duration = Duration::from_millis(1500);
 /// How long the case looks for an answer all the same.
@@ -57,29 +60,46 @@
     let Some(proxy) = Proxy::start(&record, &settings, &list(41, &entries), addr, 1024) else {
         cannot_run(&record, "the proxy did not become ready");
     };
-    let Ok(mut client) = Client::to(proxy.addr) else { cannot_run(&record, "no connection to the proxy") };
-    let body = vec![b'v'; LENGTH];
+    // How much a system holds for a receiver that does not read differs between machines, so bodies of several lengths are sent.
+    let clients: Vec<_> = LENGTHS
+        .map(|mb| {
+            let (to, record) = (proxy.addr, record.clone());
+            thread::spawn(move || upload(to, mb, &record))
+        })
+        .into();
+    let taken: Vec<bool> = clients.into_iter().filter_map(|c| c.join().expect("a client")).collect();
+    if taken.is_empty() {
+        cannot_run(&record, "no body was taken whole");
+    }
+    let lost = taken.iter().filter(|lost| **lost).count();
+    let text = format!("{lost} of {} requests that were taken had no answer in time", taken.len());
+    verdict(&record, lost > 0, &text);
+}
+
+/// Sends a body of so many MiB. Returns whether the request was lost; `None`: it was not taken.
+fn upload(to: SocketAddr, mb: usize, record: &Record) -> Option<bool> {
+    let length = mb << 20;
+    let mut client = Client::to(to).ok()?;
     let head = format!(
-        "PUT /setpoint-change/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: id-1\r\n\
-         Idempotency-Key: key-1\r\nX-Time-Left: 1.000\r\nContent-Length: {LENGTH}\r\n\r\n"
+        "PUT /setpoint-change/{mb:016x} HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: id-{mb}\r\n\
+         Idempotency-Key: key-{mb}\r\nX-Time-Left: 1.000\r\nContent-Length: {length}\r\n\r\n"
     );
     let begun = Instant::now();
-    let _ = client.stream.set_write_timeout(Some(Duration::from_secs(5)));
-    if let Err(e) = client.write(head.as_bytes()).and_then(|()| client.write(&body)) {
-        // Then the request has not been taken, and the rule says nothing.
-        cannot_run(&record, &format!("the body was not taken whole: {e}"));
+    let _ = client.stream.set_write_timeout(Some(WRITE_PATIENCE));
+    if client.write(head.as_bytes()).and_then(|()| client.write(&vec![b'v'; length])).is_err() {
+        record
+            .line(format!("client: id=id-{mb}: the body of {length} bytes was not taken whole: not judged"));
+        return None;
     }
-    record.line(format!(
-        "client: last byte of {LENGTH} written {:.3} s after the first",
-        begun.elapsed().as_secs_f64()
-    ));
     let sent = Instant::now();
+    let took = begun.elapsed().as_secs_f64();
+    record.line(format!("client: id=id-{mb}: last byte of {length} written {took:.3} s after the first"));
     let answer = client.answer(PATIENCE);
-    let after = sent.elapsed().as_secs_f64();
+    let after = sent.elapsed();
     let text = match &answer {
-        Ok(answer) => format!("answered {} {after:.3} s after the last byte", answer.status()),
-        Err(why) => format!("no answer: {why}, {after:.3} s after the last byte"),
+        Ok(answer) => format!("answered {}", answer.status()),
+        Err(why) => format!("no answer: {why}"),
     };
-    record.line(format!("client: id=id-1 {text}"));
-    verdict(&record, answer.is_err() || after > LATEST.as_secs_f64(), &text);
+    record.line(format!("client: id=id-{mb}: {text}, {:.3} s after the last byte", after.as_secs_f64()));
+    Some(answer.is_err() || after > LATEST)
 }
--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -209,6 +209,9 @@
     format!("{{\"version\":{version},\"full\":true,\"servers\":[{}]}}", entries.join(","))
 }
 
+/// The memory limit of a proxy: the most on the days that are scored.
+pub const MEMORY_MB: u64 = 192;
+
 /// All processes that the case has started, with their folders: none of them outlives the case.
 static STARTED: Mutex<Vec<(Arc<Mutex<Child>>, PathBuf)>> = Mutex::new(Vec::new());
 
@@ -258,7 +261,7 @@
         let file = folder.join("config.json");
         let config = format!(
             "{{\"name\":\"p0\",\"listen\":\"{addr}\",\"discovery\":\"{discovery}\",\"seed\":\"{seed:016x}\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":{sockets}}},\
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":{MEMORY_MB},\"sockets\":{sockets}}},\
              \"known\":{known},\"settings\":{settings}}}"
         );
         std::fs::write(&file, config).expect("a configuration");
@@ -305,6 +308,14 @@
         let _ = Command::new("kill").arg(format!("-{name}")).arg(id.to_string()).status();
     }
 
+    /// How much of its memory is resident.
+    pub fn resident_bytes(&self) -> u64 {
+        let id = self.child.lock().expect("child").id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        line.and_then(|l| l.split_whitespace().next()?.parse::<u64>().ok()).unwrap_or(0) << 10
+    }
+
     /// How it ended; `None`: it runs.
     pub fn ended(&self) -> Option<ExitStatus> {
         self.child.lock().expect("child").try_wait().ok()?
