--- a/review/standin/src/bin/case2.rs
+++ b/review/standin/src/bin/case2.rs
@@ -24,7 +24,16 @@
     record.line(format!(
         "{CLIENTS} clients, bodies of {LENGTH} bytes in pieces of {piece}, {RATE} bytes a second each"
     ));
-    let origin = node(|_| Reply::Answer(Duration::from_millis(20), "200 OK", "", "stored".into()));
+    let noted = record.clone();
+    let origin = node(move |request| {
+        noted.line(format!(
+            "origin: ran {} id={} ({} bytes)",
+            request.line,
+            request.id(),
+            request.body.len()
+        ));
+        Reply::Answer(Duration::from_millis(20), "200 OK", "", "stored".into())
+    });
     let cache = node(|_| {
         Reply::Answer(Duration::from_millis(5), "404 Not Found", "X-Lookup: miss\r\n", String::new())
     });
@@ -44,9 +53,13 @@
     // The platform kills a proxy that goes over its memory.
     let (platform, noted) = (proxy.clone(), record.clone());
     let watch = thread::spawn(move || {
-        let (until, mut peak) = (Instant::now() + Duration::from_secs(6), 0);
+        let (until, mut peak, mut told) = (Instant::now() + Duration::from_secs(6), 0, 0);
         while Instant::now() < until && platform.ended().is_none() {
             peak = platform.resident_bytes().max(peak);
+            if peak >= told + (16 << 20) {
+                told = peak;
+                noted.line(format!("platform: the proxy has {} MB resident", peak >> 20));
+            }
             if peak > MEMORY_MB << 20 {
                 noted.line(format!(
                     "platform: {} MB resident, over the limit of {MEMORY_MB} MB: SIGKILL",
@@ -72,6 +85,7 @@
         if stream.write_all(head.as_bytes()).is_err() {
             cannot_run(&record, "a head could not be written");
         }
+        record.line(format!("client {n}: sent the head of PUT id=id-{n}, X-Time-Left=1.000"));
         streams.push(stream);
     }
     record.line(format!("clients: {CLIENTS} heads are written, the bodies begin"));
@@ -88,8 +102,12 @@
         begun.elapsed().as_secs_f64()
     ));
     let (mut served, mut refused, mut other, mut none) = (0, 0, 0, 0);
-    for stream in streams {
-        match Client::of(stream).answer(Duration::from_secs(2)).as_ref().map(Message::status) {
+    for (n, stream) in streams.into_iter().enumerate() {
+        let answer = Client::of(stream).answer(Duration::from_secs(2));
+        let text =
+            answer.as_ref().map_or_else(|why| (*why).to_owned(), |a| format!("answered {}", a.status()));
+        record.line(format!("client {n}: id=id-{n} {text}"));
+        match answer.as_ref().map(Message::status) {
             Ok(200) => served += 1,
             Ok(429 | 503) => refused += 1,
             Ok(_) => other += 1,
