--- a/review/standin/src/bin/further.rs
+++ b/review/standin/src/bin/further.rs
@@ -3,6 +3,7 @@
 use review_standin::*;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -18,6 +19,7 @@
         "pipeline" => pipeline(&record),
         "chunks" => chunks(&record),
         "list" => long_list(&record),
+        "late" => late(&record),
         other => cannot_run(&record, &format!("no {other}")),
     }
 }
@@ -237,3 +239,66 @@
     let line = log.lines().find(|l| l.contains("discovery")).unwrap_or("none").to_owned();
     verdict(record, line != "none", &format!("what the proxy says of discovery: {line}"))
 }
+
+/// A second copy of one answer in a hundred, LATE_MS behind it (16 unless set): is it served to another request?
+fn late(record: &Arc<Record>) -> ! {
+    let delay = std::env::var("LATE_MS").ok().and_then(|ms| ms.parse().ok()).unwrap_or(16);
+    let (begun, count) = (Instant::now(), Arc::new(AtomicU64::new(0)));
+    let noted = record.clone();
+    let cache = listen(move |stream| {
+        let mut reader = std::io::BufReader::new(stream.try_clone().expect("a second handle"));
+        let mut writer = stream;
+        while let Some(request) = read_message(&mut reader) {
+            thread::sleep(Duration::from_millis(5));
+            let body = request.id();
+            let text =
+                format!("HTTP/1.1 200 OK\r\nX-Lookup: hit\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            if writer.write_all(text.as_bytes()).is_err() {
+                return;
+            }
+            let number = count.fetch_add(1, Ordering::Relaxed);
+            // The nodes are sound for the first four seconds.
+            if has_trouble() && begun.elapsed() > Duration::from_secs(4) && number.is_multiple_of(100) {
+                noted.line(format!("node: a second answer of {body} follows after {delay} ms"));
+                let mut copy = writer.try_clone().expect("a third handle");
+                thread::spawn(move || {
+                    thread::sleep(Duration::from_millis(delay));
+                    let _ = copy.write_all(text.as_bytes());
+                });
+            }
+        }
+    });
+    let proxy = start(record, &GSBHSB, &gsbhsb_classes(), cache, missing());
+    let clients: Vec<_> = (0..16)
+        .map(|c| {
+            let (to, record) = (proxy.addr, record.clone());
+            thread::spawn(move || {
+                let (mut asked, mut wrong) = (0, 0);
+                let mut client = Client::to(to).expect("a connection");
+                while begun.elapsed() < Duration::from_secs(12) {
+                    let id = format!("id-{c}-{asked:05}");
+                    asked += 1;
+                    let text = format!(
+                        "GET /schedule-read/{:016x} HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: {id}\r\n\
+                         X-Time-Left: 1.000\r\n\r\n",
+                        c * 100 + asked % 50
+                    );
+                    let answer = client.write(text.as_bytes()).map_err(|_| "").and_then(|()| client.answer(Duration::from_secs(2)));
+                    match answer {
+                        Ok(answer) if answer.status() == 200 && answer.body != id.as_bytes() => {
+                            wrong += 1;
+                            record.line(format!("client: {id} got {}", String::from_utf8_lossy(&answer.body)));
+                        }
+                        Ok(_) => {}
+                        Err(_) => client = Client::to(to).expect("a connection"),
+                    }
+                    thread::sleep(Duration::from_millis(asked as u64 * 7 % 40));
+                }
+                (asked, wrong)
+            })
+        })
+        .collect();
+    let ends: Vec<(usize, usize)> = clients.into_iter().map(|c| c.join().expect("a client")).collect();
+    let (asked, wrong) = ends.iter().fold((0, 0), |(a, w), end| (a + end.0, w + end.1));
+    verdict(record, wrong > 0, &format!("copies {delay} ms late: {wrong} of {asked} got another's answer"))
+}
