--- a/review/standin/src/bin/case1.rs
+++ b/review/standin/src/bin/case1.rs
@@ -4,12 +4,14 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const CHANGES: usize = 10;
+/// How long a client waits before it repeats; the site has 7.5 to 60 ms.
+const BACKOFF: Duration = Duration::from_millis(60);
 
 fn main() {
-    end_on_panic();
+    begin();
     let record = Record::create(&std::env::args().nth(1).expect("record.txt"));
     let length = if has_trouble() { 66_000 } else { 60_000 };
     record.line(format!("bodies of {length} bytes"));
@@ -52,12 +54,14 @@
     let (mut number, mut served) = (0, 0);
     for change in 0..CHANGES {
         // A client repeats an unsafe change only after a refusal, which says that a repeat is harmless; twice at most.
+        let begun = Instant::now();
         for repeat in 0..3 {
             number += 1;
+            let left = Duration::from_secs(1).saturating_sub(begun.elapsed()).as_secs_f64();
             let mark = if repeat > 0 { "X-Repeat: 1\r\n" } else { "" };
             let head = format!(
-                "PUT /setpoint-change/{change:016x} HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: id-{number}\r\n\
-                 X-Time-Left: 1.000\r\n{mark}Content-Length: {length}\r\n\r\n"
+                "PUT /setpoint-change/{change:016x} HTTP/1.1\r\nHost: backend.local\r\nX-Account: health-bldgs\r\nX-Correlation-Id: id-{number}\r\n\
+                 X-Time-Left: {left:.3}\r\n{mark}Content-Length: {length}\r\n\r\n"
             );
             record.line(format!("client: PUT change {change:016x} id=id-{number} repeat={repeat}"));
             let sent = client.write(head.as_bytes()).and_then(|()| client.write(&body));
@@ -85,7 +89,7 @@
             if !matches!(status, 429 | 503) {
                 break;
             }
-            thread::sleep(Duration::from_millis(100));
+            thread::sleep(BACKOFF);
         }
         thread::sleep(Duration::from_millis(300));
     }
--- a/review/standin/src/bin/case2.rs
+++ b/review/standin/src/bin/case2.rs
@@ -17,7 +17,7 @@
 const LARGE_PIECE: usize = 16_000;
 
 fn main() {
-    end_on_panic();
+    begin();
     let record = Record::create(&std::env::args().nth(1).expect("record.txt"));
     let piece = if has_trouble() { PIECE } else { LARGE_PIECE };
     let pace = Duration::from_micros((1_000_000 * piece / RATE) as u64);
@@ -79,7 +79,7 @@
         };
         let _ = stream.set_nodelay(true);
         let head = format!(
-            "PUT /setpoint-change/{n:016x} HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: id-{n}\r\n\
+            "PUT /setpoint-change/{n:016x} HTTP/1.1\r\nHost: backend.local\r\nX-Account: health-bldgs\r\nX-Correlation-Id: id-{n}\r\n\
              Idempotency-Key: key-{n}\r\nX-Time-Left: 1.000\r\nContent-Length: {LENGTH}\r\n\r\n"
         );
         if stream.write_all(head.as_bytes()).is_err() {
--- a/review/standin/src/bin/further.rs
+++ b/review/standin/src/bin/further.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 fn main() {
-    end_on_panic();
+    begin();
     let name = std::env::args().nth(1).expect("a name");
     let record = Record::create(&std::env::args().nth(2).expect("a record"));
     match name.as_str() {
--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -6,6 +6,7 @@
 use std::hash::BuildHasher;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
@@ -212,6 +213,9 @@
 /// The memory limit of a proxy: the most on the days that are scored.
 pub const MEMORY_MB: u64 = 192;
 
+/// A case takes 120 s at most.
+const LONGEST_RUN: Duration = Duration::from_secs(105);
+
 /// All processes that the case has started, with their folders: none of them outlives the case.
 static STARTED: Mutex<Vec<(Arc<Mutex<Child>>, PathBuf)>> = Mutex::new(Vec::new());
 
@@ -224,8 +228,28 @@
     }
 }
 
-/// Ends the case with 2, and its processes, where a stand-in's thread fails.
-pub fn end_on_panic() {
+extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
+/// Has the system kill this process when the one that started it ends, however that ends.
+fn end_with_parent() {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    // SAFETY: the call takes two numbers and changes nothing but this process's own setting.
+    unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) };
+}
+
+/// Begins a case: it and its processes end, with 2, where a stand-in's thread fails or the case takes too long, and are killed where
+/// the script or the case itself is killed.
+pub fn begin() {
+    end_with_parent();
+    thread::spawn(|| {
+        thread::sleep(LONGEST_RUN);
+        println!("COULD NOT RUN: it took too long");
+        end_all();
+        std::process::exit(2);
+    });
     let usual = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |panic| {
         usual(panic);
@@ -266,7 +290,15 @@
         );
         std::fs::write(&file, config).expect("a configuration");
         let log = File::create(folder.join("log")).expect("a log");
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        // SAFETY: the closure makes one system call and allocates nothing.
+        unsafe {
+            command.pre_exec(|| {
+                end_with_parent();
+                Ok(())
+            });
+        }
+        let child = command
             .args(["-c", &run])
             .current_dir(root)
             .env("PROXY_NAME", "p0")
@@ -279,7 +311,7 @@
             .stderr(log)
             .spawn()
             .expect("the proxy");
-        record.line(format!("proxy {} started at {addr} with: {run}", child.id()));
+        record.line(format!("proxy {} started at {addr}, seed {seed:016x}, with: {run}", child.id()));
         let child = Arc::new(Mutex::new(child));
         STARTED.lock().expect("started").push((child.clone(), folder.clone()));
         let proxy = Proxy { child, addr, folder };
@@ -370,8 +402,16 @@
     let Site { zones, kinds, deadline_grace_ms, connect_ms, idle_s, attempts, second_copies, .. } = site;
     let names = |names: &[&str]| names.iter().map(|n| format!("\"{n}\"")).collect::<Vec<_>>().join(",");
     let origin_kind = kinds.len() - 1;
+    let customers: Vec<String> = site
+        .tenants
+        .iter()
+        .map(|(name, share, quota)| {
+            format!("{{\"name\":\"{name}\",\"fraction\":{share},\"quota_rps\":{quota:.1}}}")
+        })
+        .collect();
+    let customers = customers.join(",");
     format!(
-        "{{\"categories\":[{classes}],\"customers\":[],\"localities\":[{}],\"machine_types\":[{}],\"zone\":0,\
+        "{{\"categories\":[{classes}],\"customers\":[{customers}],\"localities\":[{}],\"machine_types\":[{}],\"zone\":0,\
          \"n_instances\":2,\"self_index\":0,\"discovery\":\"subscribe\",\"over_share_worth\":0.05,\
          \"worth_by\":\"request\",\"weights\":\"nominal\",\"kind_of_service\":\"cache\",\
          \"family_info\":{{\"mode\":\"aside\",\"origin_kind\":{origin_kind}}},\
@@ -394,6 +434,8 @@
     pub zones: &'static [&'static str],
     /// Machine kinds, the origin last.
     pub kinds: &'static [&'static str],
+    /// Tenants: name, share, requests a second.
+    pub tenants: &'static [(&'static str, f64, f64)],
     pub deadline_grace_ms: u32,
     pub connect_ms: u32,
     pub idle_s: u32,
@@ -406,6 +448,13 @@
 pub const GSBHSB: Site = Site {
     zones: &["gandhinagar", "vadodara", "rajkot", "surat"],
     kinds: &["fast-1c", "std-1c", "slow-1c", "origin"],
+    tenants: &[
+        ("health-bldgs", 0.43, 80.0),
+        ("hostels-dept", 0.14, 26.0),
+        ("courts-bldgs", 0.14, 26.0),
+        ("schools-dept", 0.14, 26.0),
+        ("rest-houses", 0.14, 26.0),
+    ],
     deadline_grace_ms: 500,
     connect_ms: 75,
     idle_s: 15,
@@ -418,6 +467,12 @@
 pub const MONTEVIDEO: Site = Site {
     zones: &["sala-norte", "sala-sur"],
     kinds: &["rapido", "medio", "lento", "origin"],
+    tenants: &[
+        ("aseguradoras", 0.39, 80.0),
+        ("concesionarios", 0.27, 55.0),
+        ("intendencias", 0.24, 50.0),
+        ("gestorias", 0.1, 20.0),
+    ],
     deadline_grace_ms: 2000,
     connect_ms: 250,
     idle_s: 10,
