Join the pieces of a body in one buffer, so that memory follows its bytes

Cause: a piece is a slice of the read buffer that it came in and keeps all of it (8 KiB and more). `beginning` kept the pieces until the body was whole, and added up all of them before each further one. Lists from discovery (proxy and control service) and answers that the command line reads were collected in the same way. The maximum for a connection that the accept limit is derived from, 96 KiB, was none.

Why it works: `rushquay-http-body` joins pieces in one buffer as they come, at all four places, and nothing is added up again. A body of one piece is kept as it came and not copied. Streamed pieces are copied where they fill less than half of a read buffer: by reading alone, no test shows that it mattered. The maximum for a connection is 128 KiB: a body with the piece that exceeds its limit, two read buffers, and what is read ahead.

--- a/crates/services/control-service/src/discovery.rs
+++ b/crates/services/control-service/src/discovery.rs
@@ -1,13 +1,14 @@
 //! Follows the endpoint list of a discovery service: requests the whole list first, then long-polls for changes.
 
 use crate::state::SourceEvent;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::Empty;
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use rushquay_endpoints::{CursorUpdate, EndpointList, ListCursor, Nanos};
+use rushquay_http_body::{collect, CollectError};
 use rushquay_sockets::{connect, ConnectError, RetryStream};
 use rushquay_xds::client::Backoff;
 use std::convert::Infallible;
@@ -46,7 +47,7 @@
     #[error("no response: {0}")]
     NoResponse(#[source] hyper::Error),
     #[error("response body: {0}")]
-    Body(#[source] Box<dyn std::error::Error + Send + Sync>),
+    Body(#[source] CollectError<hyper::Error>),
     #[error("response status {0}")]
     Status(u16),
     #[error("malformed list: {0}")]
@@ -126,11 +127,11 @@
     let request = Request::get(path).header(HOST, addr.to_string()).body(Empty::new())?;
     let response = sender.send_request(request).await.map_err(WatchError::NoResponse)?;
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_LIST_BYTES).collect().await.map_err(WatchError::Body)?;
+    let body = collect(body, MAX_LIST_BYTES).await.map_err(WatchError::Body)?;
     if head.status != StatusCode::OK {
         return Err(WatchError::Status(head.status.as_u16()));
     }
-    serde_json::from_slice(&body.to_bytes()).map_err(WatchError::Malformed)
+    serde_json::from_slice(&body).map_err(WatchError::Malformed)
 }
 
 #[cfg(test)]
--- a/src/cli/admin_client.rs
+++ b/src/cli/admin_client.rs
@@ -1,10 +1,11 @@
 //! Calls to the admin address of a control service, as the commands for operators make them.
 
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::client::conn::http1;
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
+use rushquay_http_body::collect;
 use serde_json::Value;
 use std::fmt::Display;
 use std::net::SocketAddr;
@@ -13,6 +14,8 @@
 
 /// A control service that has not answered by then is taken for unreachable.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum size of an answer in bytes.
+const MAX_RESPONSE_BYTES: usize = 256 << 20;
 
 /// The admin address of a control service.
 #[derive(Clone, Copy)]
@@ -85,7 +88,7 @@
         let request = request(self.address, method, path, etag, body)?;
         let response = sender.send_request(request).await.map_err(|e| unreachable(&e))?;
         let (head, body) = response.into_parts();
-        let body = body.collect().await.map_err(|e| unreachable(&e))?.to_bytes();
+        let body = collect(body, MAX_RESPONSE_BYTES).await.map_err(|e| unreachable(&e))?;
         let etag = head.headers.get("etag").and_then(|v| v.to_str().ok()).map(str::to_owned);
         let body: Value = serde_json::from_slice(&body)
             .map_err(|_| format!("{}: {}", head.status, String::from_utf8_lossy(&body).trim()))?;
--- a/src/proxy/discovery/mod.rs
+++ b/src/proxy/discovery/mod.rs
@@ -9,7 +9,6 @@
 use crate::proxy::observability::fleet_stats::{self, Kind};
 use crate::proxy::upstream::socket::{Io, Socket};
 use crate::proxy::Body;
-use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{DATE, HOST};
 use hyper::{Request, StatusCode};
@@ -17,6 +16,7 @@
 use rushquay_endpoints::{
     CallFailure, CursorUpdate, EndpointList, ListCursor, NextCall, WatchMode, WatchSchedule,
 };
+use rushquay_http_body::collect;
 use rushquay_sockets::connect;
 use rushquay_xds::client::Outage;
 use std::fmt;
@@ -210,7 +210,7 @@
         let request = Request::get(path).header(HOST, self.addr.to_string()).body(Body::default());
         let response = connection.sender.send_request(request.map_err(CallError::refused)?).await;
         let (head, body) = response.map_err(|e| CallError::broken("no response", e))?.into_parts();
-        let body = Limited::new(body, MAX_LIST_BYTES).collect().await;
+        let body = collect(body, MAX_LIST_BYTES).await;
         let body = body.map_err(|e| CallError::broken("invalid response body", e))?;
         let elapsed = steady_nanos().saturating_sub(started);
         self.kept = Some(connection);
@@ -218,7 +218,7 @@
             return Err(CallError::refused(format_args!("answered {}", head.status.as_u16())));
         }
         let date = head.headers.get(DATE).and_then(|date| parse_http_date(date.to_str().ok()?));
-        match serde_json::from_slice(&body.to_bytes()) {
+        match serde_json::from_slice(&body) {
             Ok(members) => Ok(ListResponse { members, date, hold, elapsed }),
             Err(e) => {
                 self.cursor.request_whole_list();
--- a/src/proxy/http/request_body.rs
+++ b/src/proxy/http/request_body.rs
@@ -1,7 +1,9 @@
 //! Request and response bodies: short ones are buffered completely, long ones are streamed at the pace of their reader.
 
+use crate::proxy::MAX_READ_AHEAD;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as HttpBody, Bytes, Frame, Incoming, SizeHint};
+use rushquay_http_body::{detach, BodyBuffer};
 use rushquay_stream_progress::{Nanos, ProgressLimits, ProgressTracker, Replay, SECOND};
 use std::any::Any;
 use std::cell::{Cell, RefCell};
@@ -144,7 +146,8 @@
             None => Poll::Ready(None),
             Some(Err(e)) => Poll::Ready(Some(Err(io::Error::other(e)))),
             Some(Ok(frame)) => match frame.into_data() {
-                Ok(data) => Poll::Ready(Some(Ok(data))),
+                // Danger: the data may wait long for its reader.
+                Ok(data) => Poll::Ready(Some(Ok(detach(data, MAX_READ_AHEAD)))),
                 Err(_) => continue,
             },
         };
@@ -334,35 +337,32 @@
     limits: ProgressLimits,
     hold: Option<Duration>,
 ) -> Result<(Bytes, bool), BodyReadError> {
-    let (mut progress, mut parts): (ProgressTracker, Vec<Bytes>) =
-        (ProgressTracker::new(steady_nanos()), Vec::new());
+    let mut progress = ProgressTracker::new(steady_nanos());
+    let mut buffer = BodyBuffer::new(max_buffered(body));
     let hold_until = hold.map(|hold| tokio::time::Instant::now() + hold);
     loop {
-        let held: usize = parts.iter().map(Bytes::len).sum();
-        if held > MAX_BUFFERED_BODY {
-            return Ok((concat(parts), false));
+        if buffer.len() > MAX_BUFFERED_BODY {
+            return Ok((buffer.into_bytes(), false));
         }
         let remaining = Duration::from_nanos(progress.stalled_at(&limits).saturating_sub(steady_nanos()));
         let stalled_at = tokio::time::Instant::now() + remaining;
         let hold_end = hold_until.filter(|until| *until < stalled_at);
         let frame = match tokio::time::timeout_at(hold_end.unwrap_or(stalled_at), body.frame()).await {
-            Err(_) if hold_end.is_some() => return Ok((concat(parts), false)),
+            Err(_) if hold_end.is_some() => return Ok((buffer.into_bytes(), false)),
             Err(_) => return Err(BodyReadError::Stalled),
-            Ok(None) => return Ok((concat(parts), true)),
+            Ok(None) => return Ok((buffer.into_bytes(), true)),
             Ok(Some(Err(_))) => return Err(BodyReadError::Broken),
             Ok(Some(Ok(frame))) => frame,
         };
         if let Ok(data) = frame.into_data() {
             progress.record(steady_nanos(), data.len());
-            parts.push(data);
+            buffer.push(data);
         }
     }
 }
 
-fn concat(mut parts: Vec<Bytes>) -> Bytes {
-    match parts.len() {
-        0 => Bytes::new(),
-        1 => parts.swap_remove(0),
-        _ => parts.concat().into(),
-    }
+/// Returns how many bytes of a body are buffered at most: its length if that is known, otherwise all that are read before it counts as long.
+fn max_buffered(body: &Incoming) -> usize {
+    let length = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+    length.unwrap_or(usize::MAX).min(MAX_BUFFERED_BODY + MAX_READ_AHEAD)
 }
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -53,6 +53,10 @@
 /// Memory in bytes that does not belong to any connection.
 const OWN_MEMORY: usize = 8 << 20;
 
+/// Maximum memory of one connection in bytes: a buffered body with the piece that exceeds its limit, the read buffer that its headers are
+/// part of, the one that is being read into, and input that is read ahead.
+const MAX_CONNECTION_MEMORY: usize = MAX_BUFFERED_BODY + 4 * MAX_READ_AHEAD;
+
 /// A running proxy.
 pub(crate) struct Server {
     pub backend: Backend,
@@ -231,10 +235,10 @@
     }
 }
 
-/// Returns how many connections the share of resources permits. Danger: each connection may buffer a complete body and input that is read
-/// ahead; the memory must suffice even if all connections do.
+/// Returns how many connections the share of resources permits. Danger: every connection may hold as much as one can; the memory must
+/// suffice even if all of them do.
 fn capacity(share: ResourceShare, reserved: usize) -> usize {
-    let max_by_memory = share.memory.saturating_sub(OWN_MEMORY) / (MAX_BUFFERED_BODY + 2 * MAX_READ_AHEAD);
+    let max_by_memory = share.memory.saturating_sub(OWN_MEMORY) / MAX_CONNECTION_MEMORY;
     share.sockets.saturating_sub(reserved).min(max_by_memory).max(8)
 }
 
