Refuse an upload that could not be answered before its process ends, while it is not whole

With a deadline over 3 s SIGKILL found requests unanswered.

Cause: an upload's time runs from its last byte, and nothing compared it with the end of the process; only what was submitted after SIGTERM was capped. The end counted deadlines of over 3 s whole, which the platform doesn't. A connection was closed under a client that still wrote its body, so that an answer might have been lost with it.

Why it works: `ShutdownDeadline` owns the end. A body is due 0.1 s before it, less the request's deadline; if it isn't whole then, the request is refused and the body poisoned, so that no node gets its last byte and the refusal is true. A whole one has its whole time. What is unanswered 50 ms before the end fails. The rest of an unread body is read and dropped behind its answer.

Cost: uploads that come whole between that moment and the node's time before the end are refused, not served: 1.5 to 2.0 s after SIGTERM with 1 s to wait, a longest deadline of 2 s and an origin that takes 0.6 s. It can't be later: from its last byte on a request may run and is owed its whole deadline.

--- a/src/proxy/http/mod.rs
+++ b/src/proxy/http/mod.rs
@@ -9,3 +9,4 @@
 pub(crate) mod response_reader;
 pub(crate) mod responses;
 pub(crate) mod routing;
+pub(crate) mod upload;
--- a/src/proxy/http/request_body.rs
+++ b/src/proxy/http/request_body.rs
@@ -1,19 +1,18 @@
 //! Request and response bodies: short ones are buffered completely, long ones are streamed at the pace of their reader.
 
+use crate::proxy::http::upload::{Upload, UploadAttempt};
 use crate::proxy::MAX_READ_AHEAD;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as HttpBody, Bytes, Frame, Incoming, SizeHint};
 use rushquay_http_body::{detach, BodyBuffer};
-use rushquay_stream_progress::{Nanos, ProgressLimits, ProgressTracker, Replay, SECOND};
+use rushquay_stream_progress::{Nanos, ProgressLimits, ProgressTracker, SECOND};
 use std::any::Any;
-use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
-use tokio::sync::Notify;
 use tokio::time::{sleep_until, Sleep};
 
 /// Bodies of at most this many bytes are buffered completely.
@@ -64,12 +63,7 @@
 
     /// Creates the body of one attempt that streams a client's long body to a node.
     pub fn upload(upload: &Rc<Upload>) -> Self {
-        Body(Kind::Upload(Box::new(UploadAttempt {
-            upload: upload.clone(),
-            beginning_sent: false,
-            rest: None,
-            stall_detector: StallDetector::new(CLIENT_LIMITS),
-        })))
+        Body(Kind::Upload(Box::new(UploadAttempt::new(upload))))
     }
 
     /// Keeps a value until a long answer has been streamed to its end; with any other body the value is dropped immediately.
@@ -96,7 +90,7 @@
         match &self.0 {
             Kind::Whole(whole) => whole.is_end_stream(),
             Kind::Answer(answer) => answer.ended,
-            Kind::Upload(upload) => upload.upload.whole.get(),
+            Kind::Upload(upload) => upload.is_end_stream(),
         }
     }
 
@@ -105,30 +99,30 @@
         match &self.0 {
             Kind::Whole(whole) => whole.size_hint(),
             Kind::Answer(answer) => exact(answer.length),
-            Kind::Upload(upload) => exact(upload.upload.length),
+            Kind::Upload(upload) => exact(upload.length()),
         }
     }
 }
 
 /// Detects that a peer makes no progress while data is expected from it.
-struct StallDetector {
-    progress: ProgressTracker,
+pub(super) struct StallDetector {
+    pub progress: ProgressTracker,
     limits: ProgressLimits,
     timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl StallDetector {
-    fn new(limits: ProgressLimits) -> Self {
+    pub fn new(limits: ProgressLimits) -> Self {
         StallDetector { progress: ProgressTracker::new(steady_nanos()), limits, timer: None }
     }
 
-    fn record(&mut self, bytes: usize) {
+    pub fn record(&mut self, bytes: usize) {
         self.progress.record(steady_nanos(), bytes);
         self.timer = None;
     }
 
     /// Returns whether the peer has stalled; if not, the task is woken when it has.
-    fn has_stalled(&mut self, cx: &mut Context<'_>) -> bool {
+    pub fn has_stalled(&mut self, cx: &mut Context<'_>) -> bool {
         let now = steady_nanos();
         if self.timer.is_none() {
             let remaining = self.progress.stalled_at(&self.limits).saturating_sub(now);
@@ -140,7 +134,7 @@
 }
 
 /// Polls the next data of a body; trailers are dropped.
-fn poll_data(body: &mut Incoming, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+pub(super) fn poll_data(body: &mut Incoming, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
     loop {
         return match std::task::ready!(Pin::new(&mut *body).poll_frame(cx)) {
             None => Poll::Ready(None),
@@ -219,108 +213,6 @@
     }
 }
 
-/// A client's body that is too long to be buffered completely.
-pub struct Upload {
-    read_beginning: Bytes,
-    rest: RefCell<Option<Incoming>>,
-    replay: Cell<Replay>,
-    length: Option<u64>,
-    /// The last byte has arrived.
-    whole: Cell<bool>,
-    completed: Notify,
-}
-
-impl Upload {
-    /// Creates an upload from the buffered beginning of a body and the rest that is still arriving.
-    pub fn new(beginning: Bytes, rest: Incoming, length: Option<u64>) -> Rc<Self> {
-        let (rest, replay) = (RefCell::new(Some(rest)), Cell::new(Replay::of(false)));
-        Rc::new(Upload {
-            read_beginning: beginning,
-            rest,
-            replay,
-            length,
-            whole: Cell::new(false),
-            completed: Notify::new(),
-        })
-    }
-
-    /// Returns whether an attempt may still start to send the body.
-    pub fn may_send(&self) -> bool {
-        self.replay.get().may_send()
-    }
-
-    /// Returns whether the last byte has arrived and been handed to an attempt.
-    pub fn is_whole(&self) -> bool {
-        self.whole.get()
-    }
-
-    /// Returns once the last byte has arrived: the client's deadline runs from then.
-    pub async fn whole(&self) {
-        while !self.whole.get() {
-            self.completed.notified().await;
-        }
-    }
-
-    fn end(&self) {
-        self.whole.set(true);
-        self.completed.notify_one();
-    }
-
-    /// Claims the rest of the body, unless another attempt has claimed it.
-    fn claim_rest(&self) -> Option<Incoming> {
-        let mut replay = self.replay.get();
-        let claimed = replay.claim_rest();
-        self.replay.set(replay);
-        self.rest.borrow_mut().take().filter(|_| claimed)
-    }
-}
-
-/// An upload as sent by one attempt.
-struct UploadAttempt {
-    upload: Rc<Upload>,
-    beginning_sent: bool,
-    rest: Option<Incoming>,
-    stall_detector: StallDetector,
-}
-
-impl UploadAttempt {
-    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        if !self.beginning_sent {
-            self.beginning_sent = true;
-            return Poll::Ready(Some(Ok(Frame::data(self.upload.read_beginning.clone()))));
-        }
-        if self.rest.is_none() {
-            self.rest = self.upload.claim_rest();
-            self.stall_detector = StallDetector::new(CLIENT_LIMITS);
-        }
-        let rest_length =
-            self.upload.length.map(|length| length.saturating_sub(self.upload.read_beginning.len() as u64));
-        let Some(rest) = &mut self.rest else {
-            return Poll::Ready(Some(Err(io::Error::other(
-                "another attempt has already sent the rest of the body",
-            ))));
-        };
-        match poll_data(rest, cx) {
-            Poll::Ready(Some(Ok(data))) => {
-                self.stall_detector.record(data.len());
-                if rest_length == Some(self.stall_detector.progress.bytes()) {
-                    self.upload.end();
-                }
-                Poll::Ready(Some(Ok(Frame::data(data))))
-            }
-            Poll::Ready(None) => {
-                self.upload.end();
-                Poll::Ready(None)
-            }
-            Poll::Pending if self.stall_detector.has_stalled(cx) => Poll::Ready(Some(Err(io::Error::new(
-                io::ErrorKind::TimedOut,
-                "the client has stopped sending",
-            )))),
-            other => other.map_ok(Frame::data),
-        }
-    }
-}
-
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyReadError {
--- a/src/proxy/http/request_handler.rs
+++ b/src/proxy/http/request_handler.rs
@@ -6,17 +6,16 @@
 use crate::proxy::engine::{Engine, PendingRequest, Ticket};
 use crate::proxy::http::answer::Answer;
 use crate::proxy::http::headers::CORRELATION_ID;
-use crate::proxy::http::request_body::Upload;
-use crate::proxy::http::request_parsing::{class_of, parse_request};
+use crate::proxy::http::request_parsing::{class_of, parse_request, ParseContext, ParseError};
 use crate::proxy::http::responses::{bad, plain, respond_with};
 use crate::proxy::http::routing::{Forward, Routed};
+use crate::proxy::http::upload::Upload;
 use crate::proxy::listener::client_connection::Client;
-use crate::proxy::listener::graceful_shutdown::FINAL_WRITE_WINDOW;
 use crate::proxy::observability::request_trace::{self, Event};
 use crate::proxy::server::Server;
 use crate::proxy::upstream::backend::Backend;
 use crate::proxy::Body;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode, Version};
@@ -80,7 +79,7 @@
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         client.ends_by_close.set(request.version() == Version::HTTP_10);
-        let may_ask = request.version() == Version::HTTP_11;
+        client.has_unread_body.set(!request.body().is_end_stream());
         let (mut head, body) = request.into_parts();
         // `forward` keeps the cluster alive until the request has been answered.
         let forward = match self.route(&mut head) {
@@ -98,8 +97,7 @@
                 return plain(StatusCode::NOT_FOUND, "no such route");
             }
         };
-        let mut response =
-            self.parse_and_answer(head, body, forward.as_deref(), engine, client, may_ask).await;
+        let mut response = self.parse_and_answer(head, body, forward.as_deref(), engine, client).await;
         if let Some(forward) = &forward {
             forward.change_response(&mut response);
         }
@@ -131,8 +129,8 @@
         forward: Option<&Forward>,
         engine: &Rc<Engine>,
         client: &Client,
-        may_ask: bool,
     ) -> Response<Body> {
+        let began = Instant::now();
         let name = class_of(&head, forward);
         let active = engine.active_config();
         let Some(class) = active.names.classes.iter().position(|c| c == name) else {
@@ -140,16 +138,21 @@
             return bad(StatusCode::NOT_FOUND, "no such class");
         };
         let policy = self.policy.as_deref();
-        let parsed = parse_request(&active, class, engine, head, body, forward, policy).await;
+        let shutdown_deadline = &self.shutdown_deadline;
+        let context =
+            ParseContext { active: &active, class, engine, forward, policy, shutdown_deadline, began };
+        let parsed = parse_request(&context, head, body).await;
         let entry = self.metrics.take(class);
         let mut account = RequestAccounting { server: self, entry, active, class, since: Instant::now() };
         let pending = match parsed {
             Ok(pending) => pending,
-            Err((status, why)) => {
+            Err(ParseError::Invalid(status, why)) => {
                 account.failed(Cause::BadRequest);
                 return invalid_request(status, why);
             }
+            Err(ParseError::ShuttingDown) => return self.refuse_unsent(account),
         };
+        client.has_unread_body.set(pending.upstream_request.upload().is_some());
         if let Some(wait) = policy.and_then(|p| p.rejects(class)) {
             self.metrics.refusals.one_more(Cause::Policy);
             account.ended(RequestOutcome::Rejected);
@@ -163,19 +166,31 @@
             return bad(StatusCode::CONFLICT, "a request with this X-Correlation-Id is open");
         }
         let _open = OpenRequestId { server: self, id };
-        let response = self.answer(pending, engine, client, may_ask, &mut account).await;
+        let upload = pending.upstream_request.upload().cloned();
+        let response = self.answer(pending, engine, client, began, &mut account).await;
+        client.has_unread_body.set(upload.is_some_and(|upload| !upload.is_whole()));
         with_accounting(response, account)
     }
 
+    /// Refuses a request of which nothing was sent.
+    fn refuse_unsent(&self, mut account: RequestAccounting<'_>) -> Response<Body> {
+        self.metrics.refusals.one_more(Cause::NotSent);
+        account.ended(RequestOutcome::Rejected);
+        with_accounting(respond_with(Answer::Rejected(Duration::ZERO)), account)
+    }
+
     /// Submits a request to its engine and returns its answer, unless the client disconnects first.
     async fn answer(
         &self,
         mut pending: PendingRequest,
         engine: &Rc<Engine>,
         client: &Client,
-        may_ask: bool,
+        began: Instant,
         account: &mut RequestAccounting<'_>,
     ) -> Response<Body> {
+        // A client of HTTP/1.0 knows no interim responses.
+        let may_ask = !client.ends_by_close.get();
+        let time_limit = Duration::from_nanos(pending.request.remaining);
         let waited = client.read_buffer.waited(Instant::now());
         let late_at =
             Instant::now() + Duration::from_nanos(pending.request.remaining) + LATE_ANSWER_TOLERANCE;
@@ -194,7 +209,8 @@
             biased;
             answer = ticket.answer() => answer,
             // The engine's own timeout allows for the slowest upload.
-            () = overdue(upload, time_left) => Answer::Overdue,
+            () = overdue(upload.clone(), time_left) => Answer::Overdue,
+            answer = self.answer_before_end(upload.as_deref(), began, time_limit) => answer,
             () = client.read_buffer.until_disconnected(&client.socket, may_ask) => {
                 return plain(StatusCode::BAD_GATEWAY, CLIENT_GONE_TEXT);
             }
@@ -215,13 +231,31 @@
 
     /// Caps the remaining time to the end of this process. Danger: a request that is unanswered when the process ends is lost.
     fn cap_to_shutdown(&self, pending: &mut PendingRequest) {
-        let Some(end) = self.ends_at.get() else { return };
-        let left = end.saturating_duration_since(Instant::now()).saturating_sub(FINAL_WRITE_WINDOW);
+        let Some(left) = self.shutdown_deadline.time_left() else { return };
         let left = left.as_nanos() as Nanos;
         pending.request.remaining = pending.request.remaining.min(left);
         pending.upload = pending.upload.min(left);
     }
 
+    /// Returns the answer that a request must have before this process ends. An upload is refused while its last byte has not arrived:
+    /// later it may have run, and there would be no time to say so.
+    async fn answer_before_end(
+        &self,
+        upload: Option<&Upload>,
+        began: Instant,
+        time_limit: Duration,
+    ) -> Answer {
+        if let Some(upload) = upload {
+            self.shutdown_deadline.body_due(began, time_limit).await;
+            if upload.refuse() {
+                self.metrics.refusals.one_more(Cause::NotWritten);
+                return Answer::Rejected(Duration::ZERO);
+            }
+        }
+        self.shutdown_deadline.answers_due().await;
+        Answer::Overdue
+    }
+
     /// Returns whether the client has disconnected. Danger: it may have disconnected before its request was read, or while the previous
     /// request on its connection was answered. An attempt would be wasted.
     async fn has_disconnected(&self, pending: &mut PendingRequest, client: &Client, may_ask: bool) -> bool {
--- a/src/proxy/http/request_parsing.rs
+++ b/src/proxy/http/request_parsing.rs
@@ -6,20 +6,24 @@
 use crate::proxy::control::policy_client::PolicyClient;
 use crate::proxy::engine::{Engine, PendingRequest};
 use crate::proxy::http::headers::{CORRELATION_ID, TIME_LEFT};
-use crate::proxy::http::request_body::{beginning, BodyReadError, Upload, CLIENT_LIMITS};
+use crate::proxy::http::request_body::{beginning, BodyReadError, CLIENT_LIMITS};
 use crate::proxy::http::responses::strip;
 use crate::proxy::http::routing::Forward;
+use crate::proxy::http::upload::Upload;
+use crate::proxy::listener::shutdown_deadline::ShutdownDeadline;
 use crate::proxy::upstream::attempt::{AttemptBody, UpstreamRequest};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
 use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
 
 const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
 const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
-const NO_KEY: (StatusCode, &str) = (StatusCode::BAD_REQUEST, "no Idempotency-Key");
+const NO_KEY: ParseError = ParseError::Invalid(StatusCode::BAD_REQUEST, "no Idempotency-Key");
 /// Maximum length of a request id in bytes.
 const MAX_ID_LENGTH: usize = 128;
 /// Maximum duration of an upload, meant for half a gigabyte from the slowest healthy client.
@@ -38,39 +42,61 @@
     parts.next_back().filter(|k| !k.is_empty())
 }
 
-/// Parses a request for the decision module, or returns the status and text that reject it.
+/// Why a request is not submitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ParseError {
+    /// It is invalid, or its body did not arrive in time: the status and text of its response.
+    Invalid(StatusCode, &'static str),
+    /// This process ends, and its body has not arrived completely.
+    ShuttingDown,
+}
+
+/// What a request is parsed under.
+pub struct ParseContext<'a> {
+    /// The configuration when its head arrived.
+    pub active: &'a Rc<ActiveConfig>,
+    pub class: usize,
+    pub engine: &'a Engine,
+    pub forward: Option<&'a Forward>,
+    pub policy: Option<&'a PolicyClient>,
+    pub shutdown_deadline: &'a ShutdownDeadline,
+    /// When its head arrived.
+    pub began: Instant,
+}
+
+/// Parses a request for the decision module.
+///
+/// # Errors
+/// The request is invalid, or its body did not arrive in time.
 pub async fn parse_request(
-    active: &Rc<ActiveConfig>,
-    class: usize,
-    engine: &Engine,
+    context: &ParseContext<'_>,
     head: Parts,
     body: Incoming,
-    forward: Option<&Forward>,
-    policy: Option<&PolicyClient>,
-) -> Result<PendingRequest, (StatusCode, &'static str)> {
+) -> Result<PendingRequest, ParseError> {
+    let &ParseContext { active, class, engine, forward, policy, .. } = context;
     let (name, key_text) = (class_of(&head, forward), key_of(&head));
     let write = match head.method {
         Method::GET => false,
         Method::PUT => true,
-        _ => return Err((StatusCode::METHOD_NOT_ALLOWED, "only GET and PUT")),
+        _ => return Err(ParseError::Invalid(StatusCode::METHOD_NOT_ALLOWED, "only GET and PUT")),
     };
     let at_most_one = |name: &HeaderName, why| match head.headers.get_all(name).iter().count() {
         0 => Ok(None),
         1 => Ok(head.headers.get(name)),
-        _ => Err((StatusCode::BAD_REQUEST, why)),
+        _ => Err(ParseError::Invalid(StatusCode::BAD_REQUEST, why)),
     };
     let rule = &active.settings.classes[class];
     let time_limit = match at_most_one(&TIME_LEFT, "more than one X-Time-Left")? {
         None => rule.deadline,
         // Danger: the state of a request is kept for this long.
-        Some(value) => {
-            time_left(value).ok_or((StatusCode::BAD_REQUEST, "bad X-Time-Left"))?.min(rule.deadline)
-        }
+        Some(value) => time_left(value)
+            .ok_or(ParseError::Invalid(StatusCode::BAD_REQUEST, "bad X-Time-Left"))?
+            .min(rule.deadline),
     };
     let time_limit = forward.and_then(|f| f.timeout).map_or(time_limit, |max| time_limit.min(max));
     let id = at_most_one(&CORRELATION_ID, "more than one X-Correlation-Id")?;
     if !id.is_some_and(well_formed) {
-        return Err((StatusCode::BAD_REQUEST, "no X-Correlation-Id, or a bad one"));
+        return Err(ParseError::Invalid(StatusCode::BAD_REQUEST, "no X-Correlation-Id, or a bad one"));
     }
     let idempotency_key = at_most_one(&IDEMPOTENCY_KEY, "more than one Idempotency-Key")?;
     let lacks_key = write && idempotency_key.is_none_or(|k| k.is_empty());
@@ -80,9 +106,18 @@
     let mut body = body;
     let length = body.size_hint().exact();
     // Danger: a client that stalls in the middle of its body would keep its connection forever, since that counts as busy.
-    let (held, whole) = beginning(&mut body, CLIENT_LIMITS, None).await.map_err(|e| match e {
-        BodyReadError::Stalled => (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
-        BodyReadError::Broken => (StatusCode::BAD_REQUEST, "the body is broken"),
+    let read = tokio::select! {
+        biased;
+        read = beginning(&mut body, CLIENT_LIMITS, None) => read,
+        () = context.shutdown_deadline.body_due(context.began, Duration::from_nanos(time_limit)) => {
+            return Err(ParseError::ShuttingDown);
+        }
+    };
+    let (held, whole) = read.map_err(|e| match e {
+        BodyReadError::Stalled => {
+            ParseError::Invalid(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")
+        }
+        BodyReadError::Broken => ParseError::Invalid(StatusCode::BAD_REQUEST, "the body is broken"),
     })?;
     // The request starts here, and completes under the policy lease that is valid now.
     policy.iter().for_each(|p| p.refresh());
@@ -109,7 +144,7 @@
         is_marked_retry: head.headers.get(REPEAT).is_some_and(|v| v == "1"),
     };
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
-    let uri = path.parse().map_err(|_| (StatusCode::BAD_REQUEST, "bad path"))?;
+    let uri = path.parse().map_err(|_| ParseError::Invalid(StatusCode::BAD_REQUEST, "bad path"))?;
     let mut headers = head.headers;
     strip(&mut headers);
     // The body is forwarded with its actual length.
--- a/src/proxy/listener/client_connection.rs
+++ b/src/proxy/listener/client_connection.rs
@@ -3,22 +3,26 @@
 use crate::api;
 use crate::proxy::http::request_body::steady_nanos;
 use crate::proxy::listener::descriptors::Permit;
-use crate::proxy::listener::read_buffer::{BufferedInput, ReadBuffer};
+use crate::proxy::listener::read_buffer::{BufferedInput, ReadBuffer, READ_CHUNK};
 use crate::proxy::upstream::socket::Socket;
 use rushquay_admission::Evidence;
 use rushquay_invariants::{CloseCause, ConnectionFacts};
 use std::cell::Cell;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 /// Time from accept to the first complete request head; then the connection is closed.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a peer may take to read its last response before the connection is closed. Danger: closing with unread
 /// received bytes resets the connection, and the part of the response that the kernel still holds is lost.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long at most the rest of a body is read and dropped after its request was answered.
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(10);
 /// How long the write of a response may make no progress before the connection is closed.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a connection may be idle between requests.
@@ -38,6 +42,8 @@
     pub read_buffer: Rc<ReadBuffer>,
     /// A request is being answered.
     pub busy: Cell<bool>,
+    /// The request being answered has a body that has not been read to its end.
+    pub has_unread_body: Cell<bool>,
     /// The client speaks HTTP/1.0, where closing the connection may delimit a response.
     pub ends_by_close: Cell<bool>,
     accepted_at: Instant,
@@ -61,6 +67,7 @@
             socket: Socket::new(stream, permit),
             read_buffer: Rc::default(),
             busy: Cell::new(false),
+            has_unread_body: Cell::new(false),
             ends_by_close: Cell::new(false),
             accepted_at,
             idle_since: Cell::new(accepted_at),
@@ -115,7 +122,19 @@
         let remaining = LINGER_TIMEOUT.saturating_sub(self.idle_since.get().elapsed());
         let skips_linger = matches!(cause, CloseCause::NotRead | CloseCause::NoRequest);
         // Danger: a client that has sent another request waits for the close before it sends that request elsewhere.
-        if skips_linger || remaining.is_zero() || self.socket.has_no_input() {
+        if skips_linger {
+            return;
+        }
+        if self.has_unread_body.get() {
+            self.lingering.set(true);
+            tokio::select! {
+                () = self.discard_input() => {}
+                () = self.skip_linger.notified() => {}
+                () = sleep(MAX_DISCARD_TIME) => {}
+            }
+            return;
+        }
+        if remaining.is_zero() || self.socket.has_no_input() {
             return;
         }
         self.lingering.set(true);
@@ -126,6 +145,30 @@
         }
     }
 
+    /// Reads and drops what the peer still sends, until it has ended or sends nothing more for a while. Danger: a client that writes the
+    /// rest of its body to a closed connection is reset, and may never read the response that it was sent meanwhile.
+    async fn discard_input(&self) {
+        let mut chunk = [0; READ_CHUNK];
+        loop {
+            let readable = timeout(LINGER_TIMEOUT, self.socket.ready(Interest::READABLE)).await;
+            if !readable.is_ok_and(|ready| ready.is_ok()) {
+                return;
+            }
+            match self.socket.try_read(&mut chunk) {
+                Ok(n) if n > 0 => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                _ => return,
+            }
+        }
+    }
+
+    /// Makes sure that a response which the end of the process cuts off does not look complete.
+    pub fn mark_cut_off(&self) {
+        if self.ends_by_close.get() && self.busy.get() {
+            self.socket.reset();
+        }
+    }
+
     /// Returns what decides which connection is closed when descriptors run out.
     pub fn evidence(&self, now: Instant) -> Evidence {
         let steady_at = |then: Instant| {
--- a/src/proxy/listener/graceful_shutdown.rs
+++ b/src/proxy/listener/graceful_shutdown.rs
@@ -1,6 +1,7 @@
 //! Graceful shutdown: closes the listener, and answers every request that was received.
 
 use crate::proxy::listener::acceptor::EVICTION_WAIT;
+use crate::proxy::listener::shutdown_deadline::{FINAL_WRITE_WINDOW, MAX_AWAITED_DEADLINE};
 use crate::proxy::observability::request_trace::{self, Event};
 use crate::proxy::process::handover::HandoverServer;
 use crate::proxy::server::Server;
@@ -20,10 +21,8 @@
 const MIN_ACCEPT_TIME: Duration = Duration::from_millis(450);
 const QUIET_PERIOD: Duration = Duration::from_millis(100);
 const MAX_ACCEPT_TIME: Duration = Duration::from_millis(600);
-/// The process ends by the longest request deadline plus this, counted from SIGTERM; later it may be killed.
+/// The process ends by the longest request deadline that is awaited plus this, counted from SIGTERM; later it may be killed.
 const SHUTDOWN_ALLOWANCE: Duration = Duration::from_millis(600);
-/// Reserved before the end of the process to write the last responses; nothing more is read in this time.
-pub const FINAL_WRITE_WINDOW: Duration = Duration::from_millis(50);
 /// Maximum number of connections accepted from the listen queue when the listener is closed; no queue is longer.
 const MAX_QUEUED_CONNECTIONS: usize = 4096;
 
@@ -38,10 +37,10 @@
     ) {
         crate::proxy::log("draining");
         request_trace::event(|| Event::State { state: "draining" });
-        let longest = self.backend.longest_deadline();
+        let longest = self.backend.longest_deadline().min(MAX_AWAITED_DEADLINE);
         let start = Instant::now();
         let end = start + longest + SHUTDOWN_ALLOWANCE;
-        self.ends_at.set(Some(end));
+        self.shutdown_deadline.set(end);
         self.draining.set(true);
         self.rollout.iter().for_each(|r| r.begin_shutdown());
         self.publish_status();
@@ -141,7 +140,10 @@
                 }
                 () = sleep_until(end) => {
                     crate::proxy::log("ended with clients still connected");
-                    self.clients.borrow().iter().for_each(|c| self.record_process_end(c));
+                    for client in self.clients.borrow().iter() {
+                        self.record_process_end(client);
+                        client.mark_cut_off();
+                    }
                     return;
                 }
             }
--- a/src/proxy/listener/mod.rs
+++ b/src/proxy/listener/mod.rs
@@ -8,3 +8,4 @@
 pub(crate) mod listener_socket;
 pub(crate) mod pause_detection;
 pub(crate) mod read_buffer;
+pub(crate) mod shutdown_deadline;
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -17,6 +17,7 @@
 use crate::proxy::listener::descriptors::Descriptors;
 use crate::proxy::listener::listener_socket::{self, ListenSocket};
 use crate::proxy::listener::pause_detection;
+use crate::proxy::listener::shutdown_deadline::ShutdownDeadline;
 use crate::proxy::observability::admin::{self, AdminListener};
 use crate::proxy::observability::request_trace::{self, Event};
 use crate::proxy::process::handover::{self, HandoverServer, ListenerOwner};
@@ -71,8 +72,8 @@
     serving: Cell<bool>,
     /// When a connection was last accepted.
     pub last_connection_at: Cell<Instant>,
-    /// When this process ends; set when graceful shutdown begins.
-    pub ends_at: Cell<Option<Instant>>,
+    /// When this process ends.
+    pub shutdown_deadline: ShutdownDeadline,
     pub clients: RefCell<Vec<Rc<Client>>>,
     /// Connections that were accepted and have no descriptor permit yet.
     pub waiting: RefCell<VecDeque<TcpStream>>,
@@ -158,7 +159,7 @@
         draining: Cell::new(false),
         serving: Cell::new(false),
         last_connection_at: Cell::new(Instant::now()),
-        ends_at: Cell::new(None),
+        shutdown_deadline: ShutdownDeadline::default(),
         clients: RefCell::default(),
         waiting: RefCell::default(),
         shortage: RefCell::default(),
--- a/src/proxy/upstream/attempt.rs
+++ b/src/proxy/upstream/attempt.rs
@@ -2,7 +2,8 @@
 
 use crate::api::Status;
 use crate::proxy::http::headers::CORRELATION_ID;
-use crate::proxy::http::request_body::{steady_nanos, Upload};
+use crate::proxy::http::request_body::steady_nanos;
+use crate::proxy::http::upload::Upload;
 use crate::proxy::upstream::socket::Socket;
 use crate::proxy::Body;
 use hyper::body::Bytes;
