Let one owner say whether a node can have got a request whole, so that none runs twice

Cause: the fact was derived from signs that differ. The socket called a request written at its first flush, which a streamed body has long before its last byte; the upload was whole when a poll of the rest returned the last byte. A body of over 64 KiB that was read whole all the same has no rest, and hyper, having sent the told length, does not poll again. `exchange` took the answer on a reused connection for one that came before the last byte: dropped, "never ran", refused. The client's time after an upload hung on the same sign.

Why it works: `RequestProgress` is the one owner. The body reports its last byte wherever it is, the socket what the system has accepted; a request is written with the first flush behind its last byte. Timeouts, resets, early answers, the pool and the count of attempts ask there. A body that its client breaks off no longer counts against the node.

--- a/src/proxy/http/request_body.rs
+++ b/src/proxy/http/request_body.rs
@@ -1,6 +1,7 @@
 //! Request and response bodies: short ones are buffered completely, long ones are streamed at the pace of their reader.
 
 use crate::proxy::http::upload::{Upload, UploadAttempt};
+use crate::proxy::upstream::request_progress::RequestProgress;
 use crate::proxy::MAX_READ_AHEAD;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as HttpBody, Bytes, Frame, Incoming, SizeHint};
@@ -36,7 +37,11 @@
 }
 
 /// A body sent to a client or to a node.
-pub struct Body(Kind);
+pub struct Body {
+    kind: Kind,
+    /// What its last byte is reported to; `None`: nobody asks.
+    progress: Option<Rc<RequestProgress>>,
+}
 
 enum Kind {
     Whole(Full<Bytes>),
@@ -50,25 +55,45 @@
     }
 }
 
+impl From<Kind> for Body {
+    fn from(kind: Kind) -> Self {
+        Body { kind, progress: None }
+    }
+}
+
 impl Body {
     /// Creates a completely buffered body.
     pub fn new(bytes: Bytes) -> Self {
-        Body(Kind::Whole(Full::new(bytes)))
+        Kind::Whole(Full::new(bytes)).into()
     }
 
     /// Creates the body of a node's long answer.
     pub fn answer(answer: StreamedResponse) -> Self {
-        Body(Kind::Answer(Box::new(answer)))
+        Kind::Answer(Box::new(answer)).into()
     }
 
     /// Creates the body of one attempt that streams a client's long body to a node.
     pub fn upload(upload: &Rc<Upload>) -> Self {
-        Body(Kind::Upload(Box::new(UploadAttempt::new(upload))))
+        Kind::Upload(Box::new(UploadAttempt::new(upload))).into()
+    }
+
+    /// Makes the body of a request report when its last byte is handed over to be written.
+    pub fn reporting_to(mut self, progress: Rc<RequestProgress>) -> Self {
+        self.progress = Some(progress);
+        // Hyper does not poll an empty body.
+        self.report_if_ended();
+        self
+    }
+
+    fn report_if_ended(&self) {
+        if self.is_end_stream() {
+            self.progress.iter().for_each(|progress| progress.record_last_byte_handed_over());
+        }
     }
 
     /// Keeps a value until a long answer has been streamed to its end; with any other body the value is dropped immediately.
     pub fn carry(&mut self, value: impl Any) {
-        if let Kind::Answer(answer) = &mut self.0 {
+        if let Kind::Answer(answer) = &mut self.kind {
             answer.carried.push(Box::new(value));
         }
     }
@@ -79,15 +104,17 @@
     type Error = io::Error;
 
     fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        match &mut self.0 {
+        let frame = match &mut self.kind {
             Kind::Whole(whole) => Pin::new(whole).poll_frame(cx).map_err(|never| match never {}),
             Kind::Answer(answer) => answer.poll(cx),
             Kind::Upload(upload) => upload.poll(cx),
-        }
+        };
+        self.report_if_ended();
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
-        match &self.0 {
+        match &self.kind {
             Kind::Whole(whole) => whole.is_end_stream(),
             Kind::Answer(answer) => answer.ended,
             Kind::Upload(upload) => upload.is_end_stream(),
@@ -96,7 +123,7 @@
 
     fn size_hint(&self) -> SizeHint {
         let exact = |length: Option<u64>| length.map(SizeHint::with_exact).unwrap_or_default();
-        match &self.0 {
+        match &self.kind {
             Kind::Whole(whole) => whole.size_hint(),
             Kind::Answer(answer) => exact(answer.length),
             Kind::Upload(upload) => exact(upload.length()),
--- a/src/proxy/http/upload.rs
+++ b/src/proxy/http/upload.rs
@@ -20,6 +20,8 @@
     completed: Notify,
     /// The client was told that the request has not run, so its last byte must not reach a node any more.
     refused: Cell<bool>,
+    /// An attempt could not send it whole for a reason that its node has no part in.
+    broken: Cell<bool>,
     /// Wakes the attempt that waits for the client.
     waiting_attempt: Cell<Option<Waker>>,
 }
@@ -28,14 +30,16 @@
     /// Creates an upload from the buffered beginning of a body and the rest that is still arriving.
     pub fn new(beginning: Bytes, rest: Incoming, length: Option<u64>) -> Rc<Self> {
         let (rest, replay) = (RefCell::new(Some(rest)), Cell::new(Replay::of(false)));
+        let is_whole = length == Some(beginning.len() as u64);
         Rc::new(Upload {
             read_beginning: beginning,
             rest,
             replay,
             length,
-            whole: Cell::new(false),
+            whole: Cell::new(is_whole),
             completed: Notify::new(),
             refused: Cell::new(false),
+            broken: Cell::new(false),
             waiting_attempt: Cell::new(None),
         })
     }
@@ -45,7 +49,7 @@
         self.replay.get().may_send()
     }
 
-    /// Returns whether the last byte has arrived and been handed to an attempt.
+    /// Returns whether the last byte has arrived: it was buffered, or handed to an attempt.
     pub fn is_whole(&self) -> bool {
         self.whole.get()
     }
@@ -68,6 +72,11 @@
         true
     }
 
+    /// Returns whether an attempt has ended because the body cannot be sent whole, which says nothing about its node.
+    pub fn is_broken(&self) -> bool {
+        self.broken.get()
+    }
+
     fn end(&self) {
         self.whole.set(true);
         self.completed.notify_one();
@@ -85,8 +94,11 @@
 /// An upload as sent by one attempt.
 pub struct UploadAttempt {
     upload: Rc<Upload>,
-    beginning_sent: bool,
     rest: Option<Incoming>,
+    /// Bytes handed over to be written.
+    sent: u64,
+    /// The last byte was handed over.
+    ended: bool,
     stall_detector: StallDetector,
 }
 
@@ -95,8 +107,9 @@
     pub fn new(upload: &Rc<Upload>) -> Self {
         UploadAttempt {
             upload: upload.clone(),
-            beginning_sent: false,
             rest: None,
+            sent: 0,
+            ended: false,
             stall_detector: StallDetector::new(CLIENT_LIMITS),
         }
     }
@@ -106,26 +119,32 @@
         self.upload.length
     }
 
-    /// Returns whether the last byte has been sent.
+    /// Returns whether the last byte was handed over.
     pub fn is_end_stream(&self) -> bool {
-        self.upload.whole.get()
+        self.ended
     }
 
     /// Polls the next part of the body: the buffered beginning, then what the client sends.
     pub fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let frame = self.poll_next(cx);
+        if matches!(frame, Poll::Ready(Some(Err(_)))) {
+            self.upload.broken.set(true);
+        }
+        frame
+    }
+
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         if self.upload.refused.get() {
             return Poll::Ready(Some(Err(io::Error::other("the request has been refused"))));
         }
-        if !self.beginning_sent {
-            self.beginning_sent = true;
-            return Poll::Ready(Some(Ok(Frame::data(self.upload.read_beginning.clone()))));
+        if self.sent == 0 && !self.upload.read_beginning.is_empty() {
+            let beginning = self.upload.read_beginning.clone();
+            return Poll::Ready(Some(Ok(self.hand_over(beginning))));
         }
         if self.rest.is_none() {
             self.rest = self.upload.claim_rest();
             self.stall_detector = StallDetector::new(CLIENT_LIMITS);
         }
-        let rest_length =
-            self.upload.length.map(|length| length.saturating_sub(self.upload.read_beginning.len() as u64));
         let Some(rest) = &mut self.rest else {
             return Poll::Ready(Some(Err(io::Error::other(
                 "another attempt has already sent the rest of the body",
@@ -134,13 +153,10 @@
         match poll_data(rest, cx) {
             Poll::Ready(Some(Ok(data))) => {
                 self.stall_detector.record(data.len());
-                if rest_length == Some(self.stall_detector.progress.bytes()) {
-                    self.upload.end();
-                }
-                Poll::Ready(Some(Ok(Frame::data(data))))
+                Poll::Ready(Some(Ok(self.hand_over(data))))
             }
             Poll::Ready(None) => {
-                self.upload.end();
+                self.end();
                 Poll::Ready(None)
             }
             Poll::Pending if self.stall_detector.has_stalled(cx) => Poll::Ready(Some(Err(io::Error::new(
@@ -153,4 +169,19 @@
             }
         }
     }
+
+    /// Counts data that is handed over. Danger: the reader of a body of known length does not poll again after its last byte, wherever that
+    /// byte is: in the buffered beginning, or in what followed it.
+    fn hand_over(&mut self, data: Bytes) -> Frame<Bytes> {
+        self.sent += data.len() as u64;
+        if self.upload.length == Some(self.sent) {
+            self.end();
+        }
+        Frame::data(data)
+    }
+
+    fn end(&mut self) {
+        self.ended = true;
+        self.upload.end();
+    }
 }
--- a/src/proxy/upstream/mod.rs
+++ b/src/proxy/upstream/mod.rs
@@ -6,6 +6,7 @@
 mod idle_connections;
 pub(crate) mod load_assignment;
 mod pooled_connection;
+pub(crate) mod request_progress;
 mod reuse;
 pub(crate) mod socket;
 
@@ -21,6 +22,7 @@
 };
 use crate::proxy::upstream::idle_connections::IdleConnections;
 use crate::proxy::upstream::pooled_connection::{drive, Connection, GaugeGuard};
+use crate::proxy::upstream::request_progress::RequestProgress;
 use crate::proxy::upstream::socket::{FirstByte, Io, Socket};
 use crate::proxy::{Body, MAX_BUFFERED_BODY, MAX_READ_AHEAD};
 use hyper::client::conn::http1;
@@ -454,10 +456,12 @@
                 uses: connection.uses,
                 rested,
             });
-            connection.socket.begin_message(MAX_RESPONSE_BYTES, Some(FirstByte { facts, time_left }));
+            let progress =
+                connection.socket.begin_message(MAX_RESPONSE_BYTES, Some(FirstByte { facts, time_left }));
             connection.uses += 1;
             cancellation.set_socket(&connection.socket);
-            let sent = connection.sender.send_request(build_request(upstream_request, addr, time_left)).await;
+            let request = build_request(upstream_request, addr, time_left, progress);
+            let sent = connection.sender.send_request(request).await;
             request_trace::event(|| Event::Response {
                 request: upstream_request.id(),
                 connection: connection.number,
@@ -479,6 +483,10 @@
                 if connection.socket.is_written() {
                     return Status::Reset.into();
                 }
+                // The node has no part in it.
+                if upstream_request.upload().is_some_and(|upload| upload.is_broken()) {
+                    return Status::Moot.into();
+                }
                 if reused {
                     continue;
                 }
@@ -486,9 +494,7 @@
             };
             // Danger: a response that came before the last byte of the request is another's. It would pass for proof of what became of
             // a request that has not run, and will not once its connection is closed.
-            let is_sent =
-                connection.socket.is_written() && upstream_request.upload().is_none_or(|u| u.is_whole());
-            if reused && !is_sent {
+            if reused && !connection.socket.is_written() {
                 self.record_unsolicited(server, kind, Duration::ZERO);
                 connection.close(NodeCloseCause::Unsolicited);
                 return Status::ConnectFailed.into();
@@ -669,12 +675,18 @@
     }
 }
 
-/// Builds the request of one attempt, with its time left and host.
-fn build_request(upstream_request: &UpstreamRequest, addr: SocketAddr, time_left: Nanos) -> Request<Body> {
-    let mut request = Request::new(match &upstream_request.body {
+/// Builds the request of one attempt, with its time left and host. Its body reports to `progress`.
+fn build_request(
+    upstream_request: &UpstreamRequest,
+    addr: SocketAddr,
+    time_left: Nanos,
+    progress: Rc<RequestProgress>,
+) -> Request<Body> {
+    let body = match &upstream_request.body {
         AttemptBody::Buffered(bytes) => Body::new(bytes.clone()),
         AttemptBody::Streamed(upload) => Body::upload(upload),
-    });
+    };
+    let mut request = Request::new(body.reporting_to(progress));
     *request.method_mut() = upstream_request.method.clone();
     *request.uri_mut() = upstream_request.uri.clone();
     let headers = request.headers_mut();
--- a/src/proxy/upstream/socket.rs
+++ b/src/proxy/upstream/socket.rs
@@ -2,6 +2,7 @@
 //! interrupted or for which the system was short of buffers.
 
 use crate::proxy::listener::descriptors::Permit;
+use crate::proxy::upstream::request_progress::RequestProgress;
 use rushquay_admin::RequestMetrics;
 use rushquay_invariants::{check_sent, may_send, SendDenied, SendFacts, SentAttempt, Violation};
 use rushquay_sockets::{classify, ErrorClass};
@@ -36,10 +37,8 @@
 /// A stream that is shared by hyper, which reads and writes it through [`Io`], and by the code that watches its state.
 pub struct Socket {
     stream: TcpStream,
-    /// Bytes were written since [`Socket::begin_message`].
-    write_started: Cell<bool>,
-    /// The message was written completely.
-    fully_written: Cell<bool>,
+    /// How much of the message was written.
+    progress: RefCell<Rc<RequestProgress>>,
     /// The kernel accepts no more bytes, so hyper still buffers some.
     stalled: Cell<bool>,
     /// How many more bytes may be read.
@@ -83,8 +82,7 @@
         let _ = stream.set_nodelay(true);
         Rc::new(Socket {
             stream,
-            write_started: Cell::new(false),
-            fully_written: Cell::new(false),
+            progress: RefCell::new(Rc::new(RequestProgress::of_whole_message())),
             stalled: Cell::new(false),
             read_limit: Cell::new(usize::MAX),
             last_activity: Cell::new(Instant::now()),
@@ -103,16 +101,17 @@
     }
 
     /// Begins a new message whose response may have at most `read_limit` bytes. `first_byte` is checked when its first byte is written,
-    /// because other tasks run between the hand-over to hyper and that moment.
-    pub fn begin_message(&self, read_limit: usize, first_byte: Option<FirstByte>) {
+    /// because other tasks run between the hand-over to hyper and that moment. Returns what the message's body reports its last byte to.
+    pub fn begin_message(&self, read_limit: usize, first_byte: Option<FirstByte>) -> Rc<RequestProgress> {
+        let progress = Rc::new(RequestProgress::default());
+        self.progress.replace(progress.clone());
         self.read_limit.set(read_limit);
-        self.write_started.set(false);
-        self.fully_written.set(false);
         self.response_started.set(None);
         self.written_at.set(None);
         self.resting_since.set(None);
         self.denied.set(None);
         *self.first_byte.borrow_mut() = first_byte;
+        progress
     }
 
     /// Notes that the last response is complete and the connection is kept for another message.
@@ -161,7 +160,7 @@
 
     /// Returns whether the message was written completely.
     pub fn is_written(&self) -> bool {
-        self.fully_written.get()
+        self.progress.borrow().is_written()
     }
 
     /// Returns why the message was denied; `None` if it was not.
@@ -384,7 +383,7 @@
             });
             match sent {
                 Ok((checked, n)) => {
-                    socket.write_started.set(true);
+                    socket.progress.borrow().record_write();
                     socket.shortages.set(0);
                     socket.last_activity.set(Instant::now());
                     socket.report_violation(checked.as_ref().and_then(check_sent));
@@ -427,9 +426,9 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        // Hyper flushes the stream once its own buffer, which holds the complete message, is empty.
+        // Hyper flushes the stream once its own buffer, which holds what was handed over of the message, is empty.
         self.0.stalled.set(false);
-        if self.0.write_started.get() && !self.0.fully_written.replace(true) {
+        if self.0.progress.borrow().record_flush() {
             self.0.written_at.set(Some(self.0.last_activity.get()));
             self.0.metrics.iter().for_each(|m| m.attempts.one_more());
         }
--- /dev/null
+++ b/tests/long_bodies.rs
@@ -0,0 +1,272 @@
+//! Request bodies of any length and framing, over nodes of any kind: one answer in time, a refusal only for what no node has got whole, and
+//! no second run.
+
+mod rig;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rig::*;
+use std::collections::HashMap;
+use std::io::{BufRead, Read, Write};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const SEED: u64 = 61;
+/// What a client waits from its last byte on, and the half second in which a late answer is not lost.
+const TIME_LEFT: Duration = Duration::from_millis(800);
+const GRACE: Duration = Duration::from_millis(500);
+/// A body that is not taken by then was never taken, and is owed nothing.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
+/// A client repeats what was refused so often.
+const MAX_REPEATS: usize = 2;
+/// Long enough for a connection to a node to have rested.
+const PAUSE: Duration = Duration::from_millis(120);
+
+/// What a node does with its requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NodeKind {
+    /// It answers what it has got whole.
+    Sound,
+    /// It reads everything and says nothing.
+    Silent,
+}
+
+/// How often the node has got each request whole, by its path.
+type Runs = Arc<Mutex<HashMap<String, u32>>>;
+
+/// Reads a head. Returns its path and the length of its body; `None`: it is chunked.
+fn read_head(node: &mut Peer) -> Option<(String, Option<usize>)> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        node.0.read_line(&mut head).ok().filter(|n| *n > 0)?;
+    }
+    let path = head.split(' ').nth(1)?.to_owned();
+    let length = head
+        .to_lowercase()
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length:")?.trim().parse().ok());
+    Some((path, length))
+}
+
+/// Reads a body. Returns `None` if it does not come whole.
+fn read_body(node: &mut Peer, length: Option<usize>) -> Option<()> {
+    if let Some(length) = length {
+        return node.0.read_exact(&mut vec![0; length]).ok();
+    }
+    loop {
+        let mut line = String::new();
+        node.0.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        let length = usize::from_str_radix(line.trim(), 16).ok()?;
+        node.0.read_exact(&mut vec![0; length + 2]).ok()?;
+        if length == 0 {
+            return Some(());
+        }
+    }
+}
+
+fn serve(mut node: Peer, kind: NodeKind, runs: &Runs) -> Option<()> {
+    loop {
+        let (path, length) = read_head(&mut node)?;
+        read_body(&mut node, length)?;
+        *runs.lock().expect("runs").entry(path).or_default() += 1;
+        if kind == NodeKind::Sound {
+            node.0.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").ok()?;
+        }
+    }
+}
+
+/// Starts the origin.
+fn start_nodes(origin: Server, kind: NodeKind) -> Runs {
+    let runs = Runs::default();
+    let told = runs.clone();
+    std::thread::spawn(move || {
+        for stream in origin.taken {
+            let (node, runs) = (Peer::new(stream), told.clone());
+            std::thread::spawn(move || serve(node, kind, &runs));
+        }
+    });
+    runs
+}
+
+/// A body to be sent.
+#[derive(Clone, Copy, Debug)]
+struct BodyPlan {
+    length: usize,
+    /// Bytes of a chunk; `None`: the length is told.
+    chunk: Option<usize>,
+    /// Whether the last bytes and the end of the body come in a write of their own.
+    is_end_apart: bool,
+}
+
+impl BodyPlan {
+    /// Draws a body whose length is near one of the constants that lengths are compared with: read buffers, the longest buffered body, and what
+    /// may be read beyond it.
+    fn draw(random: &mut Pcg64Mcg) -> Self {
+        const CONSTANTS: [usize; 8] =
+            [4 << 10, 8 << 10, 16 << 10, 64 << 10, 72 << 10, 80 << 10, 128 << 10, 300_000];
+        let near = CONSTANTS[random.random_range(0..CONSTANTS.len())];
+        let length = match random.random_range(0..3) {
+            0 => near + random.random_range(0..3) - 1,
+            1 => near + random.random_range(0..2_000),
+            _ => random.random_range(1..320_000),
+        };
+        let chunk = match random.random_range(0..3) {
+            0 => Some([1_000, 16_000, 70_000, 400_000][random.random_range(0..4)]),
+            _ => None,
+        };
+        BodyPlan { length, chunk, is_end_apart: random.random_bool(0.3) }
+    }
+
+    fn header(self) -> String {
+        match self.chunk {
+            Some(_) => "Transfer-Encoding: chunked\r\n".into(),
+            None => format!("Content-Length: {}\r\n", self.length),
+        }
+    }
+
+    /// The body as it is written, in one or two parts.
+    fn parts(self) -> Vec<Vec<u8>> {
+        let body = vec![b'v'; self.length];
+        let mut wire = match self.chunk {
+            None => body,
+            Some(chunk) => {
+                let framed =
+                    |data: &[u8]| [format!("{:x}\r\n", data.len()).as_bytes(), data, b"\r\n"].concat();
+                body.chunks(chunk).flat_map(framed).collect()
+            }
+        };
+        let end: &[u8] = if self.chunk.is_some() { b"0\r\n\r\n" } else { b"" };
+        if !self.is_end_apart {
+            wire.extend(end);
+            return vec![wire];
+        }
+        let last = match end.is_empty() {
+            true => wire.split_off(wire.len() - wire.len().min(7)),
+            false => end.to_vec(),
+        };
+        vec![wire, last]
+    }
+}
+
+/// Sends one unsafe change, and repeats it as long as it is refused. Returns the statuses of its answers.
+fn change(proxy: &Proxy, client: &mut Peer, id: &str, plan: BodyPlan) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    for repeat in 0..=MAX_REPEATS {
+        let head = format!(
+            "PUT /order/{id} HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: {id}-{repeat}\r\nX-Time-Left: {:.3}\r\n{}\r\n",
+            TIME_LEFT.as_secs_f64(),
+            plan.header()
+        );
+        client.0.get_mut().set_write_timeout(Some(WRITE_TIMEOUT)).expect("time-out");
+        client.write(&head);
+        let written = plan.parts().iter().try_for_each(|part| client.0.get_mut().write_all(part));
+        let last_byte = Instant::now();
+        let answer = client.read();
+        let waited = last_byte.elapsed();
+        if written.is_ok() {
+            let status = answer.as_ref().map(Message::status);
+            assert!(status.is_some_and(|status| status >= 200), "no answer to {id}, {plan:?}");
+            assert!(waited < TIME_LEFT + GRACE, "{id}, {plan:?}: {status:?} after {waited:?}");
+        }
+        let status = answer.as_ref().map_or(0, Message::status);
+        statuses.push(status);
+        if status != 200 || plan.chunk.is_some() {
+            *client = proxy.client();
+        }
+        if !matches!(status, 429 | 503) {
+            break;
+        }
+        std::thread::sleep(PAUSE);
+    }
+    statuses
+}
+
+/// Plays drawn changes of several clients against nodes of one kind.
+fn play(kind: NodeKind, clients: usize, changes: usize) {
+    println!("seed {SEED}, {kind:?}");
+    let Rig { proxy, origin, .. } = rig();
+    let runs = start_nodes(origin, kind);
+    let proxy = Arc::new(proxy);
+    let threads: Vec<_> = (0..clients)
+        .map(|n| {
+            let (proxy, runs) = (proxy.clone(), runs.clone());
+            std::thread::spawn(move || {
+                let mut random = Pcg64Mcg::seed_from_u64(SEED * 1000 + n as u64);
+                let mut client = proxy.client();
+                for number in 0..changes {
+                    let (id, plan) = (format!("{kind:?}-{n}-{number}"), BodyPlan::draw(&mut random));
+                    let statuses = change(&proxy, &mut client, &id, plan);
+                    let times = runs.lock().expect("runs").get(&format!("/order/{id}")).copied().unwrap_or(0);
+                    let case = format!("{id}, {plan:?}: answered {statuses:?}, got whole {times} times");
+                    assert!(times <= 1, "ran twice: {case}");
+                    let is_refused = statuses.last().is_some_and(|status| matches!(status, 429 | 503));
+                    assert!(!(is_refused && times > 0), "refused after it ran: {case}");
+                    if kind == NodeKind::Sound {
+                        assert!(times == 1 || is_refused, "not served by a sound node: {case}");
+                    }
+                    // The node's connection rests, and carries the next one.
+                    std::thread::sleep(PAUSE);
+                }
+            })
+        })
+        .collect();
+    threads.into_iter().for_each(|thread| thread.join().expect("a client"));
+}
+
+/// Guards against a change that is refused after it ran, because its body ended where nobody looked for its end.
+#[test]
+fn unsafe_changes_of_any_length_run_once_at_sound_nodes() {
+    play(NodeKind::Sound, 6, 20);
+}
+
+/// Guards against a client that waits without end behind a body whose last byte was not noticed.
+#[test]
+fn bodies_of_any_length_that_a_silent_node_has_read_are_answered_in_time() {
+    play(NodeKind::Silent, 8, 3);
+}
+
+/// Guards against a change that counts as run before its last byte was written: it could be tried again, and is failed.
+#[test]
+fn a_change_whose_connection_breaks_within_its_body_is_refused() {
+    let r = rig();
+    for (framing, length) in [("Content-Length: 300000\r\n", 300_000), ("Transfer-Encoding: chunked\r\n", 0)]
+    {
+        let mut client = r.proxy.client();
+        client.write(&get("order", framing).replace("GET", "PUT"));
+        if length == 0 {
+            client.write("493e0\r\n");
+        }
+        client.0.get_mut().write_all(&[b'v'; 200_000]).expect("written");
+        let mut node = r.origin.take();
+        read_head(&mut node).expect("a head");
+        node.0.read_exact(&mut [0; 100_000]).expect("a part");
+        drop(node);
+        assert_eq!(client.answer().status(), 503, "{framing}");
+    }
+}
+
+/// Guards against an answer that came before its request's last byte, and so belongs to another one, on a connection that is reused.
+#[test]
+fn an_answer_before_the_last_byte_on_a_reused_connection_is_not_believed() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    client.write(&get("order", "Content-Length: 70000\r\n").replace("GET", "PUT"));
+    client.0.get_mut().write_all(&[b'v'; 70_000]).expect("written");
+    let mut node = r.origin.take();
+    let (_, length) = read_head(&mut node).expect("a head");
+    read_body(&mut node, length).expect("a body");
+    node.reply("200 OK", "", "first");
+    assert_eq!(client.answer().body, b"first");
+    std::thread::sleep(PAUSE);
+    client.write(&get("order", "Content-Length: 300000\r\n").replace("GET", "PUT"));
+    client.0.get_mut().write_all(&[b'v'; 200_000]).expect("written");
+    read_head(&mut node).expect("a head");
+    node.0.read_exact(&mut [0; 150_000]).expect("a part");
+    node.reply("200 OK", "", "another's");
+    let answer = client.answer();
+    assert_ne!(answer.body, b"another's");
+    assert_eq!(answer.status(), 503);
+    let mut rest = Vec::new();
+    let _ = node.0.read_to_end(&mut rest);
+    assert!(rest.len() < 150_000, "nothing more goes out for it");
+}
