Answer an upload in its time though its node takes nothing of it

Cause: the client's time ran from when an attempt was handed the last byte. While a node takes nothing an attempt asks for nothing, and no other limit runs.

Evidence: a stalled body of 5,242,880 bytes showed 4,014,202 read and 31,232 unread in a buffer of 225,280 with nothing more arriving; the rest waited at the client's side.

Why it works: `ArrivalClock` bounds from below when the last byte was written, and moves on by proof only; the answer is due the client's time later. What has its answer is withdrawn from the node.

--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -280,6 +280,9 @@
             self.feed(core, Event::ClientGone(id));
             if self.cancel_obsolete {
                 self.cancel_all_attempts(core, id);
+            } else if let Some(pending) = core.pending.get(&id) {
+                // Danger: a node that stops reading would hold the connection for as long as a long body may take.
+                pending.in_flight().filter(|c| !c.is_written()).for_each(Cancellation::close_connection);
             }
             Self::forget(core, id);
         }
--- a/src/proxy/http/mod.rs
+++ b/src/proxy/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 requests and responses: parsing, framing, bodies, routing, and the handling of one request from start to end.
 
 pub(crate) mod answer;
+pub(crate) mod arrival_clock;
 pub(crate) mod headers;
 pub(crate) mod request_body;
 pub(crate) mod request_framing;
--- a/src/proxy/http/request_handler.rs
+++ b/src/proxy/http/request_handler.rs
@@ -5,7 +5,9 @@
 use crate::proxy::config::active_config::ActiveConfig;
 use crate::proxy::engine::{Engine, PendingRequest, Ticket};
 use crate::proxy::http::answer::Answer;
+use crate::proxy::http::arrival_clock::ArrivalClock;
 use crate::proxy::http::headers::CORRELATION_ID;
+use crate::proxy::http::request_body::steady_nanos;
 use crate::proxy::http::request_parsing::{class_of, parse_request, ParseContext, ParseError};
 use crate::proxy::http::responses::{bad, plain, respond_with};
 use crate::proxy::http::routing::{Forward, Routed};
@@ -29,6 +31,8 @@
 /// Danger: a busy machine sends the reset late; and a client that is still connected is kept waiting.
 const RESET_WAIT: Duration = Duration::from_millis(100);
 const RESET_WAIT_DIVISOR: u32 = 4;
+/// How often an upload is looked at for whether its last byte may have arrived.
+const UPLOAD_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Body of a response that nobody will read.
 const CLIENT_GONE_TEXT: &str = "the client has gone";
 /// An answer this long after the client's deadline violates an invariant.
@@ -209,13 +213,15 @@
             biased;
             answer = ticket.answer() => answer,
             // The engine's own timeout allows for the slowest upload.
-            () = overdue(upload.clone(), time_left) => Answer::Overdue,
+            () = overdue(upload.as_deref(), client, time_left) => Answer::Overdue,
             answer = self.answer_before_end(upload.as_deref(), began, time_limit) => answer,
             () = client.read_buffer.until_disconnected(&client.socket, may_ask) => {
                 return plain(StatusCode::BAD_GATEWAY, CLIENT_GONE_TEXT);
             }
         };
         if matches!(answer, Answer::Overdue) {
+            // Nothing more is sent for a request that has its answer.
+            upload.iter().for_each(|upload| _ = upload.withdraw());
             self.metrics.failures.one_more(Cause::Overdue);
         }
         if !has_upload && Instant::now() > late_at {
@@ -247,7 +253,7 @@
     ) -> Answer {
         if let Some(upload) = upload {
             self.shutdown_deadline.body_due(began, time_limit).await;
-            if upload.refuse() {
+            if upload.withdraw() {
                 self.metrics.refusals.one_more(Cause::NotWritten);
                 return Answer::Rejected(Duration::ZERO);
             }
@@ -303,9 +309,18 @@
     });
 }
 
-/// Returns shortly before the deadline of a client that has sent its long body completely; never returns without such a body.
-async fn overdue(upload: Option<Rc<Upload>>, time_left: Nanos) {
+/// Returns shortly before the deadline of a client that may have sent its long body completely, whether or not a node takes it; never returns
+/// without such a body.
+async fn overdue(upload: Option<&Upload>, client: &Client, time_left: Nanos) {
     let Some(upload) = upload else { return std::future::pending().await };
-    upload.whole().await;
-    sleep(Duration::from_nanos(time_left - margin(time_left) / 2)).await;
+    let time_limit = time_left - margin(time_left) / 2;
+    let mut clock = ArrivalClock::new(steady_nanos(), client.read_buffer.read_bytes());
+    while timeout(UPLOAD_CHECK_INTERVAL, upload.whole()).await.is_err() {
+        clock.observe(steady_nanos(), &client.upload_facts(upload));
+        if clock.is_due(time_limit) {
+            return;
+        }
+    }
+    let waited = clock.written_for(steady_nanos()).unwrap_or(0);
+    sleep(Duration::from_nanos(time_limit.saturating_sub(waited))).await;
 }
--- a/src/proxy/http/upload.rs
+++ b/src/proxy/http/upload.rs
@@ -18,12 +18,12 @@
     /// The last byte has arrived.
     whole: Cell<bool>,
     completed: Notify,
-    /// The client was told that the request has not run, so its last byte must not reach a node any more.
-    refused: Cell<bool>,
+    /// The client has its answer, or none is owed: the last byte must not reach a node any more.
+    withdrawn: Cell<bool>,
     /// An attempt could not send it whole for a reason that its node has no part in.
     broken: Cell<bool>,
-    /// Wakes the attempt that waits for the client.
-    waiting_attempt: Cell<Option<Waker>>,
+    /// Wakes the attempt that waits for the client; `None`: none waits.
+    waiting_attempt: RefCell<Option<Waker>>,
 }
 
 impl Upload {
@@ -38,9 +38,9 @@
             length,
             whole: Cell::new(is_whole),
             completed: Notify::new(),
-            refused: Cell::new(false),
+            withdrawn: Cell::new(false),
             broken: Cell::new(false),
-            waiting_attempt: Cell::new(None),
+            waiting_attempt: RefCell::new(None),
         })
     }
 
@@ -61,12 +61,17 @@
         }
     }
 
-    /// Refuses the request unless its last byte has arrived: no node gets it from now on. Returns whether it is refused.
-    pub fn refuse(&self) -> bool {
+    /// Returns whether an attempt waits for the client, so that everything that was read has been passed on.
+    pub fn is_awaited(&self) -> bool {
+        self.waiting_attempt.borrow().is_some()
+    }
+
+    /// Withdraws the request unless its last byte has arrived: no node gets it from now on. Returns whether it is withdrawn.
+    pub fn withdraw(&self) -> bool {
         if self.whole.get() {
             return false;
         }
-        self.refused.set(true);
+        self.withdrawn.set(true);
         self.rest.take();
         self.waiting_attempt.take().into_iter().for_each(Waker::wake);
         true
@@ -126,6 +131,7 @@
 
     /// Polls the next part of the body: the buffered beginning, then what the client sends.
     pub fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        self.upload.waiting_attempt.take();
         let frame = self.poll_next(cx);
         if matches!(frame, Poll::Ready(Some(Err(_)))) {
             self.upload.broken.set(true);
@@ -134,8 +140,8 @@
     }
 
     fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        if self.upload.refused.get() {
-            return Poll::Ready(Some(Err(io::Error::other("the request has been refused"))));
+        if self.upload.withdrawn.get() {
+            return Poll::Ready(Some(Err(io::Error::other("the request has been withdrawn"))));
         }
         if self.sent == 0 && !self.upload.read_beginning.is_empty() {
             let beginning = self.upload.read_beginning.clone();
@@ -164,7 +170,7 @@
                 "the client has stopped sending",
             )))),
             other => {
-                self.upload.waiting_attempt.set(Some(cx.waker().clone()));
+                self.upload.waiting_attempt.replace(Some(cx.waker().clone()));
                 other.map_ok(Frame::data)
             }
         }
--- a/src/proxy/listener/client_connection.rs
+++ b/src/proxy/listener/client_connection.rs
@@ -1,7 +1,9 @@
 //! The state of a client connection that other tasks see: whether it is busy, and when and why it closes.
 
 use crate::api;
+use crate::proxy::http::arrival_clock::UploadFacts;
 use crate::proxy::http::request_body::steady_nanos;
+use crate::proxy::http::upload::Upload;
 use crate::proxy::listener::descriptors::Permit;
 use crate::proxy::listener::read_buffer::{BufferedInput, ReadBuffer, READ_CHUNK};
 use crate::proxy::upstream::socket::Socket;
@@ -34,6 +36,9 @@
 /// The same as `HEAD_STALL_TIMEOUT` during graceful shutdown, which waits for the client.
 const HEAD_STALL_TIMEOUT_DRAINING: Duration = Duration::from_millis(1200);
 
+/// The part of the system's receive buffer that can be filled for certain before a client has to wait for room.
+const ROOM_DIVISOR: usize = 4;
+
 /// A client connection, as seen by other tasks.
 pub struct Client {
     /// The connection's number in this process, for the request trace.
@@ -97,6 +102,21 @@
         self.cause.get().is_some()
     }
 
+    /// Returns what is known of the upload that is being read.
+    pub fn upload_facts(&self, upload: &Upload) -> UploadFacts {
+        let (read, end) = (self.read_buffer.read_bytes(), self.read_buffer.request_end());
+        let buffer_size = self.socket.receive_buffer_size();
+        // The system holds fewer bytes than the size of its buffer, which it counts with their overhead.
+        let unread = self.socket.unread_bytes(buffer_size);
+        UploadFacts {
+            read,
+            unread: unread as u64,
+            has_room: unread < buffer_size / ROOM_DIVISOR,
+            end,
+            is_awaited: upload.is_awaited(),
+        }
+    }
+
     /// Returns the facts that `may_close` decides by.
     pub fn facts(&self) -> ConnectionFacts {
         let buffered = self.read_buffer.buffered_input();
--- a/src/proxy/listener/read_buffer.rs
+++ b/src/proxy/listener/read_buffer.rs
@@ -104,6 +104,16 @@
         arrival.map_or(Duration::ZERO, |a| now.saturating_duration_since(a.at))
     }
 
+    /// Returns how many bytes of input were read.
+    pub fn read_bytes(&self) -> u64 {
+        self.read.get()
+    }
+
+    /// Returns how many bytes of input there are up to the end of the request in progress; `None`: unknown.
+    pub fn request_end(&self) -> Option<u64> {
+        Some(self.request_end.get()).filter(|end| *end != UNLIMITED)
+    }
+
     /// Returns what is buffered after the request in progress.
     pub fn buffered_input(&self) -> BufferedInput {
         let held = self.held.borrow();
--- a/src/proxy/upstream/socket.rs
+++ b/src/proxy/upstream/socket.rs
@@ -6,6 +6,7 @@
 use rushquay_admin::RequestMetrics;
 use rushquay_invariants::{check_sent, may_send, SendDenied, SendFacts, SentAttempt, Violation};
 use rushquay_sockets::{classify, ErrorClass};
+use rustix::net::RecvFlags;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -23,6 +24,8 @@
 /// Delay before retrying a call that failed for lack of system buffers, and the maximum number of consecutive retries.
 const SHORTAGE_RETRY_DELAY: Duration = Duration::from_millis(5);
 const MAX_SHORTAGES: u32 = 400;
+/// The size of a receive buffer if the system does not tell it.
+const DEFAULT_RECEIVE_BUFFER: usize = 128 << 10;
 /// The interim response that probes whether a client is still connected.
 const INTERIM: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -206,6 +209,24 @@
         self.peek().is_ok_and(|n| n > 0)
     }
 
+    /// Returns the size of the kernel's receive buffer.
+    pub fn receive_buffer_size(&self) -> usize {
+        SockRef::from(&self.stream).recv_buffer_size().unwrap_or(DEFAULT_RECEIVE_BUFFER)
+    }
+
+    /// Returns how many unread bytes the kernel holds, up to `limit`. Copies none of them.
+    pub fn unread_bytes(&self, limit: usize) -> usize {
+        const COUNT_ONLY: RecvFlags = RecvFlags::PEEK.union(RecvFlags::TRUNC);
+        let mut space = Box::<[u8]>::new_uninit_slice(limit);
+        loop {
+            match SockRef::from(&self.stream).recv_with_flags(&mut space, COUNT_ONLY.bits() as i32) {
+                Ok(n) => return n,
+                Err(e) if classify(&e) == ErrorClass::Repeat => {}
+                Err(_) => return 0,
+            }
+        }
+    }
+
     /// Shuts down both directions immediately, even if others still hold the stream.
     pub fn close(&self) {
         let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Both);
--- a/tests/long_bodies.rs
+++ b/tests/long_bodies.rs
@@ -29,6 +29,10 @@
     Sound,
     /// It reads everything and says nothing.
     Silent,
+    /// It reads heads alone, and keeps its connections open.
+    Stalled,
+    /// It reads a few bytes from time to time.
+    Trickling,
 }
 
 /// How often the node has got each request whole, by its path.
@@ -67,7 +71,14 @@
 fn serve(mut node: Peer, kind: NodeKind, runs: &Runs) -> Option<()> {
     loop {
         let (path, length) = read_head(&mut node)?;
-        read_body(&mut node, length)?;
+        match kind {
+            NodeKind::Sound | NodeKind::Silent => read_body(&mut node, length)?,
+            NodeKind::Stalled => std::thread::sleep(LONG),
+            NodeKind::Trickling => loop {
+                std::thread::sleep(PAUSE);
+                node.0.get_mut().read_exact(&mut [0; 10_000]).ok()?;
+            },
+        }
         *runs.lock().expect("runs").entry(path).or_default() += 1;
         if kind == NodeKind::Sound {
             node.0.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").ok()?;
@@ -117,6 +128,13 @@
         BodyPlan { length, chunk, is_end_apart: random.random_bool(0.3) }
     }
 
+    /// Draws a body that a node which stops reading may hold up: in the buffers between them, or beyond.
+    fn draw_long(random: &mut Pcg64Mcg) -> Self {
+        const MB: usize = 1 << 20;
+        let length = [66_000, 200_000, MB, 3 * MB, 5 * MB, 7 * MB, 9 * MB][random.random_range(0..7)];
+        BodyPlan { length, ..BodyPlan::draw(random) }
+    }
+
     fn header(self) -> String {
         match self.chunk {
             Some(_) => "Transfer-Encoding: chunked\r\n".into(),
@@ -183,6 +201,11 @@
 
 /// Plays drawn changes of several clients against nodes of one kind.
 fn play(kind: NodeKind, clients: usize, changes: usize) {
+    play_drawn(kind, clients, changes, BodyPlan::draw);
+}
+
+/// Plays changes of several clients, each with a body drawn by `draw`.
+fn play_drawn(kind: NodeKind, clients: usize, changes: usize, draw: fn(&mut Pcg64Mcg) -> BodyPlan) {
     println!("seed {SEED}, {kind:?}");
     let Rig { proxy, origin, .. } = rig();
     let runs = start_nodes(origin, kind);
@@ -194,7 +217,7 @@
                 let mut random = Pcg64Mcg::seed_from_u64(SEED * 1000 + n as u64);
                 let mut client = proxy.client();
                 for number in 0..changes {
-                    let (id, plan) = (format!("{kind:?}-{n}-{number}"), BodyPlan::draw(&mut random));
+                    let (id, plan) = (format!("{kind:?}-{n}-{number}"), draw(&mut random));
                     let statuses = change(&proxy, &mut client, &id, plan);
                     let times = runs.lock().expect("runs").get(&format!("/order/{id}")).copied().unwrap_or(0);
                     let case = format!("{id}, {plan:?}: answered {statuses:?}, got whole {times} times");
@@ -225,6 +248,56 @@
     play(NodeKind::Silent, 8, 3);
 }
 
+/// Guards against a client that waits without end behind a node that takes nothing, or next to nothing, of its body.
+#[test]
+fn bodies_that_a_node_does_not_take_are_answered_in_time() {
+    play_drawn(NodeKind::Stalled, 8, 3, BodyPlan::draw_long);
+}
+
+/// The same with a node that goes on reading, far too slowly.
+#[test]
+fn bodies_that_a_node_takes_too_slowly_are_answered_in_time() {
+    play_drawn(NodeKind::Trickling, 8, 3, BodyPlan::draw_long);
+}
+
+/// Guards against a client that is given up while it still sends, because its node's connection comes up late.
+#[test]
+fn a_client_that_still_sends_while_its_node_s_connection_comes_up_is_not_given_up() {
+    const LENGTH: usize = 160_000;
+    /// More than is buffered, so that an attempt begins.
+    const BEGINNING: usize = 70_000;
+    for is_chunked in [false, true] {
+        let (cache, discovery, (listener, filler)) = (Server::new(), Server::new(), full_backlog());
+        let origin = listener.local_addr().expect("an address");
+        let servers = [member("c1", cache.addr, "std", "ready"), member("o1", origin, "origin", "ready")];
+        let proxy = Proxy::new(&config(discovery.addr, &servers));
+        let mut client = proxy.client();
+        let plan = BodyPlan { length: LENGTH, chunk: is_chunked.then_some(1000), is_end_apart: false };
+        let headers = format!("X-Time-Left: {:.3}\r\n{}", TIME_LEFT.as_secs_f64(), plan.header());
+        client.write(&get("order", &headers).replace("GET", "PUT"));
+        let body = plan.parts().concat();
+        client.0.get_mut().write_all(&body[..BEGINNING]).expect("written");
+        let upload = std::thread::spawn(move || {
+            let pieces: Vec<&[u8]> = body[BEGINNING..].chunks(2_000).collect();
+            for piece in &pieces {
+                // Twice as long as the client waits behind its last byte.
+                std::thread::sleep(TIME_LEFT * 2 / pieces.len() as u32);
+                client.0.get_mut().write_all(piece).expect("written");
+            }
+            client.answer().status()
+        });
+        std::thread::sleep(TIME_LEFT / 4);
+        // The proxy's system tries again a second after its first try.
+        let _full = listener.accept().expect("the filler's connection");
+        drop(filler);
+        let mut node = Peer::new(listener.accept().expect("the proxy's connection").0);
+        let (_, length) = read_head(&mut node).expect("a head");
+        read_body(&mut node, length).expect("a body");
+        node.reply("200 OK", "", "");
+        assert_eq!(upload.join().expect("a client"), 200, "chunked: {is_chunked}");
+    }
+}
+
 /// Guards against a change that counts as run before its last byte was written: it could be tried again, and is failed.
 #[test]
 fn a_change_whose_connection_breaks_within_its_body_is_refused() {
