Take endpoint lists of up to 4 MiB, so that an indented list of the largest fleet is followed

Cause: the proxy's own limit of 1 MiB. Since lists are read into one buffer, a list takes memory for its bytes.

Evidence: an_indented_list_of_the_largest_fleet_is_followed in tests/discovery.rs failed before (the connection ended, no further watch came) and passes now.

--- a/src/proxy/discovery/mod.rs
+++ b/src/proxy/discovery/mod.rs
@@ -29,8 +29,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Descriptors reserved for discovery: one connection, and old ones that are still closing.
 pub const DESCRIPTORS: usize = 4;
-/// Maximum size of a list in bytes; a thousand entries take a fifth of it.
-const MAX_LIST_BYTES: usize = 1 << 20;
+/// Maximum size of a list in bytes; the largest fleet's takes a third of it, if it is indented.
+const MAX_LIST_BYTES: usize = 4 << 20;
 
 /// The response to a call.
 struct ListResponse {
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -202,3 +202,24 @@
     again.reply("200 OK", "", &list(43, false, &[member("c1", f.cache.addr, "std", "ready")]).to_string());
     assert!(again.request().line.contains("from=43&"), "what is newer is taken as ever");
 }
+
+/// Guards against a list of the largest fleet that is refused for its size when it comes indented, so that drains go unheard.
+#[test]
+fn an_indented_list_of_the_largest_fleet_is_followed() {
+    const NODES: usize = 3_200;
+    let f = followed(&[]);
+    let mut watch = f.discovery.take();
+    watch.request();
+    let mut servers = vec![member("c1", f.cache.addr, "std", "draining")];
+    servers.extend(
+        (1..NODES).map(|n| member(&format!("cache-{n:04}.example.org"), f.cache.addr, "std", "draining")),
+    );
+    let indent = format!("\n{}", " ".repeat(24));
+    let text =
+        list(42, true, &servers).to_string().replace(',', &format!(",{indent}")).replace("\":", "\": ");
+    assert!(text.len() > 1 << 20, "{} bytes", text.len());
+    watch.reply("200 OK", "", &text);
+    // The next watch says that the list has been taken.
+    assert!(f.discovery.taken.try_recv().is_err() && watch.request().line.contains("from=42"));
+    f.refuses();
+}
