--- a/tests/pipelined.rs
+++ b/tests/pipelined.rs
@@ -204,3 +204,30 @@
         assert_eq!(client.answer().status(), 200);
     }
 }
+
+/// Guards against requests that one client sends at once and that are read too late: their time counts from when the proxy reads them, and
+/// not from when they were written.
+#[test]
+fn requests_that_are_sent_at_once_are_answered_in_their_time() {
+    const REQUESTS: usize = 200;
+    /// What a client waits, and the half second in which a late answer is not lost.
+    const LATEST: Duration = Duration::from_millis(1500);
+    let Rig { proxy, cache, .. } = rig_within(Duration::from_secs(1));
+    std::thread::spawn(move || {
+        for stream in cache.taken {
+            let mut node = Peer::new(stream);
+            std::thread::spawn(move || {
+                while node.read().is_some() {
+                    std::thread::sleep(Duration::from_millis(50));
+                    node.reply("200 OK", "X-Lookup: hit\r\n", "");
+                }
+            });
+        }
+    });
+    let mut client = proxy.client();
+    let request = |n: usize| get_as(&format!("n{n}"), "read", "X-Time-Left: 1.000\r\n");
+    client.write(&(0..REQUESTS).map(request).collect::<String>());
+    let sent = std::time::Instant::now();
+    let late = (0..REQUESTS).filter(|_| client.read().is_none() || sent.elapsed() > LATEST).count();
+    assert_eq!(late, 0, "of {REQUESTS} requests, the last after {:?}", sent.elapsed());
+}
