--- a/tests/late_uploads.rs
+++ b/tests/late_uploads.rs
@@ -4,7 +4,7 @@
 
 use rig::*;
 use serde_json::json;
-use std::io::{BufRead, Read, Write};
+use std::io::{Read, Write};
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
@@ -33,30 +33,11 @@
     Rig { proxy: Proxy::new(&config), cache, origin, discovery }
 }
 
-/// Reads one request, in either framing. Returns its id if it came whole.
+/// Reads one request. Returns its id if it came whole.
 fn whole_request(node: &mut Peer) -> Option<String> {
-    let mut head = String::new();
-    while !head.ends_with("\r\n\r\n") {
-        node.0.read_line(&mut head).ok().filter(|n| *n > 0)?;
-    }
-    let head = head.to_lowercase();
-    let value = |name: &str| {
-        let line = head.lines().find_map(|line| line.strip_prefix(name));
-        line.map(|value| value.trim().to_owned())
-    };
-    match value("content-length:").and_then(|length| length.parse().ok()) {
-        Some(length) => node.0.read_exact(&mut vec![0; length]).ok()?,
-        None => loop {
-            let mut line = String::new();
-            node.0.read_line(&mut line).ok().filter(|n| *n > 0)?;
-            let length = usize::from_str_radix(line.trim(), 16).ok()?;
-            node.0.read_exact(&mut vec![0; length + 2]).ok()?;
-            if length == 0 {
-                break;
-            }
-        },
-    }
-    value("x-correlation-id:")
+    let head = node.read_head()?;
+    node.read_body(head.length)?;
+    Some(head.id)
 }
 
 /// Answers each whole request after `ORIGIN_TIME`. Returns the ids of those that came whole.
--- a/tests/long_bodies.rs
+++ b/tests/long_bodies.rs
@@ -7,7 +7,7 @@
 use rand_pcg::Pcg64Mcg;
 use rig::*;
 use std::collections::HashMap;
-use std::io::{BufRead, Read, Write};
+use std::io::{Read, Write};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -38,41 +38,11 @@
 /// How often the node has got each request whole, by its path.
 type Runs = Arc<Mutex<HashMap<String, u32>>>;
 
-/// Reads a head. Returns its path and the length of its body; `None`: it is chunked.
-fn read_head(node: &mut Peer) -> Option<(String, Option<usize>)> {
-    let mut head = String::new();
-    while !head.ends_with("\r\n\r\n") {
-        node.0.read_line(&mut head).ok().filter(|n| *n > 0)?;
-    }
-    let path = head.split(' ').nth(1)?.to_owned();
-    let length = head
-        .to_lowercase()
-        .lines()
-        .find_map(|line| line.strip_prefix("content-length:")?.trim().parse().ok());
-    Some((path, length))
-}
-
-/// Reads a body. Returns `None` if it does not come whole.
-fn read_body(node: &mut Peer, length: Option<usize>) -> Option<()> {
-    if let Some(length) = length {
-        return node.0.read_exact(&mut vec![0; length]).ok();
-    }
-    loop {
-        let mut line = String::new();
-        node.0.read_line(&mut line).ok().filter(|n| *n > 0)?;
-        let length = usize::from_str_radix(line.trim(), 16).ok()?;
-        node.0.read_exact(&mut vec![0; length + 2]).ok()?;
-        if length == 0 {
-            return Some(());
-        }
-    }
-}
-
 fn serve(mut node: Peer, kind: NodeKind, runs: &Runs) -> Option<()> {
     loop {
-        let (path, length) = read_head(&mut node)?;
+        let RequestHead { path, length, .. } = node.read_head()?;
         match kind {
-            NodeKind::Sound | NodeKind::Silent => read_body(&mut node, length)?,
+            NodeKind::Sound | NodeKind::Silent => node.read_body(length)?,
             NodeKind::Stalled => std::thread::sleep(LONG),
             NodeKind::Trickling => loop {
                 std::thread::sleep(PAUSE);
@@ -291,8 +261,8 @@
         let _full = listener.accept().expect("the filler's connection");
         drop(filler);
         let mut node = Peer::new(listener.accept().expect("the proxy's connection").0);
-        let (_, length) = read_head(&mut node).expect("a head");
-        read_body(&mut node, length).expect("a body");
+        let length = node.read_head().expect("a head").length;
+        node.read_body(length).expect("a body");
         node.reply("200 OK", "", "");
         assert_eq!(upload.join().expect("a client"), 200, "chunked: {is_chunked}");
     }
@@ -311,7 +281,7 @@
         }
         client.0.get_mut().write_all(&[b'v'; 200_000]).expect("written");
         let mut node = r.origin.take();
-        read_head(&mut node).expect("a head");
+        node.read_head().expect("a head");
         node.0.read_exact(&mut [0; 100_000]).expect("a part");
         drop(node);
         assert_eq!(client.answer().status(), 503, "{framing}");
@@ -326,14 +296,14 @@
     client.write(&get("order", "Content-Length: 70000\r\n").replace("GET", "PUT"));
     client.0.get_mut().write_all(&[b'v'; 70_000]).expect("written");
     let mut node = r.origin.take();
-    let (_, length) = read_head(&mut node).expect("a head");
-    read_body(&mut node, length).expect("a body");
+    let length = node.read_head().expect("a head").length;
+    node.read_body(length).expect("a body");
     node.reply("200 OK", "", "first");
     assert_eq!(client.answer().body, b"first");
     std::thread::sleep(PAUSE);
     client.write(&get("order", "Content-Length: 300000\r\n").replace("GET", "PUT"));
     client.0.get_mut().write_all(&[b'v'; 200_000]).expect("written");
-    read_head(&mut node).expect("a head");
+    node.read_head().expect("a head");
     node.0.read_exact(&mut [0; 150_000]).expect("a part");
     node.reply("200 OK", "", "another's");
     let answer = client.answer();
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -32,6 +32,14 @@
     }
 }
 
+/// The head of a request as a node reads it.
+pub struct RequestHead {
+    pub path: String,
+    pub id: String,
+    /// The length of the body; `None`: it comes in chunks.
+    pub length: Option<usize>,
+}
+
 /// One end of a connection.
 pub struct Peer(pub BufReader<TcpStream>);
 
@@ -86,6 +94,35 @@
         self.read().expect("a request")
     }
 
+    /// Reads the head of a request whose body may be of any length and framing; `None`: it does not come whole.
+    pub fn read_head(&mut self) -> Option<RequestHead> {
+        let mut text = String::new();
+        while !text.ends_with("\r\n\r\n") {
+            self.0.read_line(&mut text).ok().filter(|n| *n > 0)?;
+        }
+        let path = text.split(' ').nth(1)?.to_owned();
+        let headers = text.to_lowercase();
+        let value = |name: &str| headers.lines().find_map(|line| line.strip_prefix(name)).map(str::trim);
+        let length = value("content-length:").and_then(|length| length.parse().ok());
+        Some(RequestHead { path, id: value("x-correlation-id:")?.to_owned(), length })
+    }
+
+    /// Reads a body of this length, or in chunks; `None`: it does not come whole.
+    pub fn read_body(&mut self, length: Option<usize>) -> Option<()> {
+        if let Some(length) = length {
+            return self.0.read_exact(&mut vec![0; length]).ok();
+        }
+        loop {
+            let mut line = String::new();
+            self.0.read_line(&mut line).ok().filter(|n| *n > 0)?;
+            let length = usize::from_str_radix(line.trim(), 16).ok()?;
+            self.0.read_exact(&mut vec![0; length + 2]).ok()?;
+            if length == 0 {
+                return Some(());
+            }
+        }
+    }
+
     pub fn reply(&mut self, status: &str, headers: &str, body: &str) {
         let length = body.len();
         self.write(&format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n{body}"));
