--- a/src/proxy/listener/client_connection.rs
+++ b/src/proxy/listener/client_connection.rs
@@ -139,29 +139,21 @@
             return;
         }
         self.socket.shutdown_write();
-        let remaining = LINGER_TIMEOUT.saturating_sub(self.idle_since.get().elapsed());
-        let skips_linger = matches!(cause, CloseCause::NotRead | CloseCause::NoRequest);
-        // Danger: a client that has sent another request waits for the close before it sends that request elsewhere.
-        if skips_linger {
+        if matches!(cause, CloseCause::NotRead | CloseCause::NoRequest) {
             return;
         }
-        if self.has_unread_body.get() {
-            self.lingering.set(true);
-            tokio::select! {
-                () = self.discard_input() => {}
-                () = self.skip_linger.notified() => {}
-                () = sleep(MAX_DISCARD_TIME) => {}
-            }
-            return;
-        }
-        if remaining.is_zero() || self.socket.has_no_input() {
+        let has_unread_body = self.has_unread_body.get();
+        let remaining = LINGER_TIMEOUT.saturating_sub(self.idle_since.get().elapsed());
+        // Danger: a client that has sent another request waits for the close before it sends that request elsewhere.
+        if !has_unread_body && (remaining.is_zero() || self.socket.has_no_input()) {
             return;
         }
         self.lingering.set(true);
         tokio::select! {
-            () = self.socket.peer_closed() => {}
+            () = self.discard_input(), if has_unread_body => {}
+            () = self.socket.peer_closed(), if !has_unread_body => {}
             () = self.skip_linger.notified() => {}
-            () = sleep(remaining) => {}
+            () = sleep(if has_unread_body { MAX_DISCARD_TIME } else { remaining }) => {}
         }
     }
 
