--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -36,8 +36,9 @@
 pub struct RequestHead {
     pub path: String,
     pub id: String,
-    /// The length of the body; `None`: it comes in chunks.
+    /// The length of the body; `None`: it comes in chunks, or there is none.
     pub length: Option<usize>,
+    pub is_chunked: bool,
 }
 
 /// One end of a connection.
@@ -104,7 +105,8 @@
         let headers = text.to_lowercase();
         let value = |name: &str| headers.lines().find_map(|line| line.strip_prefix(name)).map(str::trim);
         let length = value("content-length:").and_then(|length| length.parse().ok());
-        Some(RequestHead { path, id: value("x-correlation-id:")?.to_owned(), length })
+        let is_chunked = value("transfer-encoding:") == Some("chunked");
+        Some(RequestHead { path, id: value("x-correlation-id:")?.to_owned(), length, is_chunked })
     }
 
     /// Reads a body of this length, or in chunks; `None`: it does not come whole.
