--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -7,7 +7,7 @@
 use crate::proxy::http::answer::Answer;
 use crate::proxy::observability::fleet_stats::{self, Kind};
 use crate::proxy::observability::request_trace::{self, Event as Traced};
-use crate::proxy::upstream::attempt::{AttemptLimits, AttemptOutcome, Cancellation, UpstreamRequest};
+use crate::proxy::upstream::attempt::{AttemptHandle, AttemptLimits, AttemptOutcome, UpstreamRequest};
 use crate::proxy::upstream::attempt_policy::{AttemptPolicy, AttemptRecord};
 use crate::proxy::upstream::Upstreams;
 use crate::Balancer;
@@ -41,8 +41,8 @@
 struct Attempt {
     server: ServerId,
     sent: Nanos,
-    /// Its cancellation and task while it is in flight.
-    in_flight: Option<(Rc<Cancellation>, AbortHandle)>,
+    /// Its handle and task while it is in flight.
+    in_flight: Option<(Rc<AttemptHandle>, AbortHandle)>,
     /// The attempt as its route's and cluster's policy counts it.
     record: AttemptRecord,
     /// Its outcome; `None`: it is in flight.
@@ -84,8 +84,8 @@
 
 impl Pending {
     /// Returns the attempts in flight.
-    fn in_flight(&self) -> impl Iterator<Item = &Cancellation> {
-        self.attempts.iter().filter_map(|a| a.in_flight.as_ref()).map(|(cancellation, _)| &**cancellation)
+    fn in_flight(&self) -> impl Iterator<Item = &AttemptHandle> {
+        self.attempts.iter().filter_map(|a| a.in_flight.as_ref()).map(|(handle, _)| &**handle)
     }
 
     /// Returns the time by which a retry must begin to be deduplicated against every earlier attempt; `None`: no limit.
@@ -276,13 +276,13 @@
         let Some(pending) = core.pending.get_mut(&id) else { return };
         if pending.answer.take().is_some() {
             request_trace::event(|| Traced::Gone { request: pending.upstream_request.id() });
-            pending.in_flight().for_each(Cancellation::mark_abandoned);
+            pending.in_flight().for_each(AttemptHandle::mark_abandoned);
             self.feed(core, Event::ClientGone(id));
             if self.cancel_obsolete {
                 self.cancel_all_attempts(core, id);
             } else if let Some(pending) = core.pending.get(&id) {
                 // Danger: a node that stops reading would hold the connection for as long as a long body may take.
-                pending.in_flight().filter(|c| !c.is_written()).for_each(Cancellation::close_connection);
+                pending.in_flight().filter(|c| !c.is_written()).for_each(AttemptHandle::close_connection);
             }
             Self::forget(core, id);
         }
@@ -293,7 +293,7 @@
         let core = &mut *self.core.borrow_mut();
         let Some(pending) = core.pending.get_mut(&id) else { return };
         let Some(attempt) = pending.attempts.get_mut(number) else { return };
-        let Some((cancellation, _)) = attempt.in_flight.take() else { return };
+        let Some((handle, _)) = attempt.in_flight.take() else { return };
         attempt.record_outcome(outcome.status, outcome.code);
         let (node, status) = (attempt.server, outcome.status);
         request_trace::event(|| Traced::Ended {
@@ -308,12 +308,12 @@
                 let (request, status) = (pending.upstream_request.id(), response.status().as_u16());
                 request_trace::event(|| Traced::Answered { request, status, after: None });
                 let _ = answer.send(Answer::Served(response));
-                pending.in_flight().for_each(Cancellation::mark_answered);
+                pending.in_flight().for_each(AttemptHandle::mark_answered);
             }
         }
         let mut event = self.outcome_event(pending, number, outcome.status, outcome.cache_hit);
         if let Event::Outcome { elapsed, .. } = &mut event {
-            *elapsed = elapsed.saturating_sub(cancellation.rest_wait().as_nanos() as Nanos);
+            *elapsed = elapsed.saturating_sub(handle.rest_wait().as_nanos() as Nanos);
         }
         self.feed(core, event);
         Self::forget(core, id);
@@ -428,13 +428,12 @@
             max_node_deadline,
         };
         let importance = pending.attempt_policy.as_ref().map(|t| t.importance);
-        let (job, cancellation) = (pending.upstream_request.clone(), Rc::new(Cancellation::default()));
-        let (upstreams, task_cancellation, weak_self) =
-            (self.upstreams.clone(), cancellation.clone(), self.weak_self.clone());
+        let (job, handle) = (pending.upstream_request.clone(), Rc::new(AttemptHandle::default()));
+        let (upstreams, task_handle, weak_self) =
+            (self.upstreams.clone(), handle.clone(), self.weak_self.clone());
         let task = tokio::task::spawn_local(async move {
-            let outcome = upstreams
-                .attempt(server, &job, limits, &task_cancellation, importance.unwrap_or_default())
-                .await;
+            let outcome =
+                upstreams.attempt(server, &job, limits, &task_handle, importance.unwrap_or_default()).await;
             if let Some(engine) = weak_self.upgrade() {
                 engine.on_outcome(id, number, outcome);
             }
@@ -442,7 +441,7 @@
         pending.attempts.push(Attempt {
             server,
             sent: now,
-            in_flight: Some((cancellation, task.abort_handle())),
+            in_flight: Some((handle, task.abort_handle())),
             record,
             status: None,
         });
@@ -453,8 +452,8 @@
     fn cancel_attempt(&self, core: &mut Core, id: RequestId, number: usize) -> Option<Event> {
         let pending = core.pending.get_mut(&id)?;
         let attempt = pending.attempts.get_mut(number)?;
-        let (cancellation, task) = attempt.in_flight.take()?;
-        cancellation.close_connection();
+        let (handle, task) = attempt.in_flight.take()?;
+        handle.close_connection();
         task.abort();
         attempt.record_outcome(Status::Cancelled, 0);
         let event = self.outcome_event(pending, number, Status::Cancelled, None);
@@ -481,7 +480,7 @@
         self.count_unserved(pending.upstream_request.id(), &answer, cause_of(last));
         // The receiver is gone if the client has just disconnected.
         let _ = sender.send(answer);
-        pending.in_flight().for_each(Cancellation::mark_answered);
+        pending.in_flight().for_each(AttemptHandle::mark_answered);
         if self.cancel_obsolete {
             // Danger: attempts still in flight would go on for a request that is already answered.
             let attempts = pending.attempts.len();
--- a/src/proxy/upstream/attempt.rs
+++ b/src/proxy/upstream/attempt.rs
@@ -1,4 +1,4 @@
-//! The request that attempts send to upstream nodes, and the handle that cancels an attempt.
+//! The request that attempts send to upstream nodes, and the handle by which the engine follows and cancels an attempt.
 
 use crate::api::Status;
 use crate::proxy::http::headers::CORRELATION_ID;
@@ -89,16 +89,16 @@
     }
 }
 
-/// The engine's handle for cancelling an attempt in flight.
+/// The handle by which the engine follows and cancels an attempt in flight.
 #[derive(Default)]
-pub struct Cancellation {
+pub struct AttemptHandle {
     socket: RefCell<Option<Rc<Socket>>>,
     request: Cell<RequestState>,
     /// How long the attempt waited for a connection to have rested.
     rest_wait: Cell<Duration>,
 }
 
-impl Cancellation {
+impl AttemptHandle {
     /// Returns the state of the request that the attempt belongs to.
     pub fn request_state(&self) -> RequestState {
         self.request.get()
--- a/src/proxy/upstream/mod.rs
+++ b/src/proxy/upstream/mod.rs
@@ -18,7 +18,7 @@
 use crate::proxy::observability::fleet_stats::{self, Kind};
 use crate::proxy::observability::request_trace::{self, Event};
 use crate::proxy::upstream::attempt::{
-    AttemptBody, AttemptLimits, AttemptOutcome, Cancellation, UpstreamRequest,
+    AttemptBody, AttemptHandle, AttemptLimits, AttemptOutcome, UpstreamRequest,
 };
 use crate::proxy::upstream::idle_connections::IdleConnections;
 use crate::proxy::upstream::pooled_connection::{drive, Connection, GaugeGuard};
@@ -339,13 +339,12 @@
         server: ServerId,
         upstream_request: &UpstreamRequest,
         limits: AttemptLimits,
-        cancellation: &Rc<Cancellation>,
+        handle: &Rc<AttemptHandle>,
         importance: RoutePriority,
     ) -> AttemptOutcome {
         let Some(stats) = self.stats(server) else { return Status::Moot.into() };
         let _in_flight = GaugeGuard::new(&stats.in_flight);
-        let outcome =
-            self.attempt_with_timeout(server, upstream_request, limits, cancellation, importance).await;
+        let outcome = self.attempt_with_timeout(server, upstream_request, limits, handle, importance).await;
         if outcome.status != Status::Moot {
             stats.attempts.set(stats.attempts.get() + 1);
             let served = matches!(outcome.status, Status::Ok | Status::Miss);
@@ -360,17 +359,16 @@
         server: ServerId,
         upstream_request: &UpstreamRequest,
         limits: AttemptLimits,
-        cancellation: &Rc<Cancellation>,
+        handle: &Rc<AttemptHandle>,
         importance: RoutePriority,
     ) -> AttemptOutcome {
         let deadlines = AttemptDeadlines::from_limits(&limits, steady_nanos());
         let until = Instant::now() + limits.total;
-        match timeout_at(until, self.exchange(server, upstream_request, deadlines, cancellation, importance))
-            .await
+        match timeout_at(until, self.exchange(server, upstream_request, deadlines, handle, importance)).await
         {
             Ok(outcome) => outcome,
             // A request that was not written completely has not run.
-            Err(_) if cancellation.is_written() => Status::Timeout.into(),
+            Err(_) if handle.is_written() => Status::Timeout.into(),
             Err(_) => Status::ConnectFailed.into(),
         }
     }
@@ -381,12 +379,12 @@
         server: ServerId,
         epoch: u64,
         deadlines: AttemptDeadlines,
-        cancellation: &Cancellation,
+        handle: &AttemptHandle,
     ) -> SendFacts {
         let same = self.target(server).is_some_and(|target| target.epoch == epoch);
         SendFacts {
             now: steady_nanos(),
-            request: cancellation.request_state(),
+            request: handle.request_state(),
             node: if same { NodeStanding::Ready } else { NodeStanding::Left },
             deadline: deadlines.total,
             retry_deadline: deadlines.first_byte,
@@ -413,21 +411,20 @@
         server: ServerId,
         upstream_request: &UpstreamRequest,
         deadlines: AttemptDeadlines,
-        cancellation: &Rc<Cancellation>,
+        handle: &Rc<AttemptHandle>,
         importance: RoutePriority,
     ) -> AttemptOutcome {
         loop {
             let Some(Target { addr, kind, epoch }) = self.target(server) else { return Status::Moot.into() };
             let latest =
                 deadlines.first_byte.map_or(deadlines.total, |first_byte| first_byte.min(deadlines.total));
-            let (mut connection, reused) =
-                match self.take_rested(server, kind, epoch, latest, cancellation).await {
-                    Some(connection) => (connection, true),
-                    None => match self.connect(server, addr, kind, importance).await {
-                        Ok(connection) => (connection, false),
-                        Err(status) => return status.into(),
-                    },
-                };
+            let (mut connection, reused) = match self.take_rested(server, kind, epoch, latest, handle).await {
+                Some(connection) => (connection, true),
+                None => match self.connect(server, addr, kind, importance).await {
+                    Ok(connection) => (connection, false),
+                    Err(status) => return status.into(),
+                },
+            };
             if connection.sender.ready().await.is_err() {
                 if reused {
                     continue;
@@ -437,16 +434,16 @@
             // Danger: while the connection was being established, the node may have started to drain or restarted, the request may
             // have been answered or abandoned, or the deduplication window of a retry may have passed. This is checked again when
             // the first byte is written.
-            if let Err(denied) = may_send(&self.facts(server, epoch, deadlines, cancellation)) {
+            if let Err(denied) = may_send(&self.facts(server, epoch, deadlines, handle)) {
                 self.metrics.denied.one_more(denied);
                 connection.close(NodeCloseCause::NodeChanged);
                 return self.denied_outcome(upstream_request, server, denied);
             }
             let time_left = deadlines.total.saturating_sub(steady_nanos()).min(deadlines.max_node_deadline);
-            let (pool, cancellation_state) = (self.clone(), cancellation.clone());
+            let (pool, task_handle) = (self.clone(), handle.clone());
             let facts = Box::new(move || SendFacts {
                 deadline: deadlines.client,
-                ..pool.facts(server, epoch, deadlines, &cancellation_state)
+                ..pool.facts(server, epoch, deadlines, &task_handle)
             });
             let rested = connection.socket.rested();
             request_trace::event(|| Event::Carried {
@@ -459,7 +456,7 @@
             let progress =
                 connection.socket.begin_message(MAX_RESPONSE_BYTES, Some(FirstByte { facts, time_left }));
             connection.uses += 1;
-            cancellation.set_socket(&connection.socket);
+            handle.set_socket(&connection.socket);
             let request = build_request(upstream_request, addr, time_left, progress);
             let sent = connection.sender.send_request(request).await;
             request_trace::event(|| Event::Response {
--- a/src/proxy/upstream/reuse.rs
+++ b/src/proxy/upstream/reuse.rs
@@ -2,7 +2,7 @@
 
 use crate::api::{Nanos, ServerId};
 use crate::proxy::http::request_body::steady_nanos;
-use crate::proxy::upstream::attempt::Cancellation;
+use crate::proxy::upstream::attempt::AttemptHandle;
 use crate::proxy::upstream::idle_connections::{Idle, Taken};
 use crate::proxy::upstream::pooled_connection::Connection;
 use crate::proxy::upstream::Upstreams;
@@ -21,7 +21,7 @@
         kind: u32,
         epoch: u64,
         latest: Nanos,
-        cancellation: &Cancellation,
+        handle: &AttemptHandle,
     ) -> Option<Connection> {
         let (reserved, remaining) = match self.take_idle(server, kind) {
             Taken::Rested(connection, _) => return Some(connection),
@@ -33,7 +33,7 @@
             return None;
         }
         tokio::time::sleep(remaining).await;
-        cancellation.add_rest_wait(remaining);
+        handle.add_rest_wait(remaining);
         drop(reserved);
         match self.take_idle(server, kind) {
             Taken::Rested(connection, _) => Some(connection),
--- a/src/proxy/upstream/tests.rs
+++ b/src/proxy/upstream/tests.rs
@@ -40,17 +40,14 @@
 }
 
 /// Begins a message on this connection for an attempt that can be cancelled through the returned handle.
-fn begin_cancellable(socket: &Rc<Socket>) -> Rc<Cancellation> {
-    let cancellation = Rc::new(Cancellation::default());
-    let cancellation_state = cancellation.clone();
-    let facts = move || SendFacts {
-        request: cancellation_state.request_state(),
-        deadline: 1,
-        ..SendFacts::default()
-    };
+fn begin_with_handle(socket: &Rc<Socket>) -> Rc<AttemptHandle> {
+    let handle = Rc::new(AttemptHandle::default());
+    let task_handle = handle.clone();
+    let facts =
+        move || SendFacts { request: task_handle.request_state(), deadline: 1, ..SendFacts::default() };
     socket.begin_message(MAX_RESPONSE_BYTES, Some(FirstByte { facts: Box::new(facts), time_left: 0 }));
-    cancellation.set_socket(socket);
-    cancellation
+    handle.set_socket(socket);
+    handle
 }
 
 /// Danger: the request may be answered after the attempt was handed to hyper and before its first byte is written by the connection's
@@ -59,11 +56,11 @@
 async fn an_attempt_cancelled_before_its_first_byte_is_not_written_by_its_connection_task() {
     let (socket, mut far) = pair().await;
     let (mut sender, driver) = http1::handshake(TokioIo::new(Io(socket.clone()))).await.expect("up");
-    let cancellation = begin_cancellable(&socket);
+    let handle = begin_with_handle(&socket);
     // Handed to hyper but not written: the connection's task has not run yet.
     let mut sending = std::pin::pin!(sender.send_request(Request::new(Body::default())));
     assert!(poll_once(sending.as_mut()).is_none());
-    cancellation.mark_answered();
+    handle.mark_answered();
     let mut received = Vec::new();
     let ended = async { tokio::join!(driver, sending) };
     tokio::select! {
@@ -79,7 +76,7 @@
 async fn an_attempt_cancelled_after_its_first_byte_goes_on() {
     let (socket, mut far) = pair().await;
     let (mut sender, driver) = http1::handshake(TokioIo::new(Io(socket.clone()))).await.expect("up");
-    let cancellation = begin_cancellable(&socket);
+    let handle = begin_with_handle(&socket);
     let mut exchange =
         std::pin::pin!(async { tokio::join!(driver, sender.send_request(Request::new(Body::default()))) });
     let mut first = [0; 1];
@@ -87,7 +84,7 @@
         _ = exchange.as_mut() => panic!("ended"),
         read = far.read_exact(&mut first) => { read.expect("read"); }
     }
-    cancellation.mark_answered();
+    handle.mark_answered();
     assert!(far.try_write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").is_ok());
     drop(far);
     let (_, sent) = exchange.await;
