Pass on what a node still gives when its client's time ends, whatever its length

Cause: the beginning of a body of unknown length was held up to 64 KiB, for a fixed 500 ms (chunks) or without limit (close), while the attempt's time-out, the client's time, ran beside it and ended first. One fixed span beside a client's own time is the class of the mistake. While it was held the decision module knew of no answer: it sent a copy after the usual time and held a failure against the node.

An attempt times out by silence, not by the time since its start; a held response is never timed out, and is passed on at once where something else ends the client's time (an upload's last byte). ResponseProgress tells the module right before a hedge timer that bytes come: no copy and no failure while they do, nor in the lulls of an answer that may be long until half of what is left to the client has passed. The time for which a response was held is no latency of its node.

--- a/src/decision/api.rs
+++ b/src/decision/api.rs
@@ -261,6 +261,18 @@
         /// Cache hit or miss, if the endpoint reported it.
         hit: Option<bool>,
     },
+    /// Bytes of an attempt's response have come, and it is not complete yet. Reported right before a hedge
+    /// timer expires.
+    ResponseProgress {
+        /// Id of the request.
+        id: RequestId,
+        /// Index of the attempt, from 0.
+        attempt: u32,
+        /// When the last of them came.
+        last_byte_at: Nanos,
+        /// Whether its length is unknown, so that it may be a long answer that takes its time.
+        may_be_long: bool,
+    },
     /// A timer with this token has expired.
     Timer(u64),
     /// The client left; no answer is needed.
--- a/src/decision/attempts.rs
+++ b/src/decision/attempts.rs
@@ -1,7 +1,7 @@
 //! Attempts: sending them, retrying after a failure, hedging slow ones, and the final answer when no further
 //! attempt is possible.
 
-use super::api::{Action, Effect, Nanos, RequestId, ServerId, Status};
+use super::api::{Action, Effect, Nanos, RequestId, Status};
 use super::endpoint_set::EndpointIndex;
 use super::latency_objective::ClassLatency;
 use super::request::{Attempt, Completion, OpenRequest};
@@ -112,6 +112,9 @@
         request.attempts.push(attempt);
         let latency = self.latency.get(request.class).copied().unwrap_or_default();
         let timers = AttemptTimers::new(now, request, latency, to_origin);
+        if let Some(attempt) = request.attempts.last_mut() {
+            attempt.hedge_after = timers.hedge_after;
+        }
         if let Some(delay) = timers.hedge_after {
             actions.push(Action::Timer { token: HEDGE_TIMER | id, delay });
         }
@@ -131,7 +134,17 @@
         }
         let entry = &endpoint.entry;
         let (server, zone, cell) = (entry.server, entry.zone, entry.cell);
-        Attempt { server, zone, cell, sent_at: now, is_pending: true, may_have_run: false }
+        let (hedge_after, response) = (None, None);
+        Attempt {
+            server,
+            zone,
+            cell,
+            sent_at: now,
+            is_pending: true,
+            may_have_run: false,
+            hedge_after,
+            response,
+        }
     }
 
     /// Continues a request whose attempt failed: with an attempt at the origin, a retry, or the final answer.
@@ -183,16 +196,23 @@
         is_retryable.then_some(RetryCause::EndpointFailure)
     }
 
-    /// Handles an expired hedge timer: sends a hedge if exactly one attempt is pending.
+    /// Handles an expired hedge timer: sends a hedge if exactly one attempt is pending and its endpoint is
+    /// silent.
     pub(super) fn on_hedge_timer(&mut self, now: Nanos, id: RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
-        let mut pending = request.attempts.iter().filter(|a| a.is_pending).map(|a| a.server);
-        let pending_server: Option<ServerId> = pending.next();
-        let has_single_pending = pending_server.is_some() && pending.next().is_none();
-        if !has_single_pending || request.is_streaming || now >= request.deadline {
+        let mut pending = request.attempts.iter().filter(|a| a.is_pending);
+        let (Some(attempt), None) = (pending.next(), pending.next()) else { return };
+        if request.is_streaming || now >= request.deadline {
+            return;
+        }
+        // Danger: an answer that is arriving is no silence, however long it takes. A copy of it would be
+        // wasted, and its endpoint would be ejected for answering.
+        if let Some(delay) = request.remaining_silence(now, attempt) {
+            actions.push(Action::Timer { token: HEDGE_TIMER | id, delay });
             return;
         }
-        if let Some(server) = pending_server {
+        let (server, may_be_long) = (attempt.server, attempt.response.is_some_and(|r| r.may_be_long));
+        if !may_be_long {
             // An overdue answer counts as a failure at once, so that a hung endpoint is ejected after two.
             self.record_failure(now, server, 1.0);
         }
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -49,7 +49,7 @@
 use load_balancer::Connections;
 use origin_limit::OriginLimit;
 use outlier_detection::OutlierDetection;
-use request::{Completion, FailureCause, OpenRequest};
+use request::{Completion, FailureCause, OpenRequest, ResponseProgress};
 use rustc_hash::FxHashMap;
 use std::rc::Rc;
 use subscription::Subscription;
@@ -123,6 +123,12 @@
                 let ended = Completion { id, attempt, server, status, elapsed, is_final: last, hit };
                 self.on_attempt_ended(now, ended, actions);
             }
+            Event::ResponseProgress { id, attempt, last_byte_at, may_be_long } => {
+                let request = self.requests.get_mut(&id);
+                if let Some(attempt) = request.and_then(|r| r.attempts.get_mut(attempt as usize)) {
+                    attempt.response = Some(ResponseProgress { last_byte_at, may_be_long });
+                }
+            }
             Event::Timer(token) => match token & !(HEDGE_TIMER - 1) {
                 SUBSCRIBE_TIMER => self.on_subscribe_timer(token, actions),
                 HEDGE_TIMER => self.on_hedge_timer(now, token & (HEDGE_TIMER - 1), actions),
@@ -137,6 +143,11 @@
         }
     }
 
+    /// The request whose hedge timer has this token; `None`: it is no hedge timer's.
+    pub fn hedged_request(token: u64) -> Option<RequestId> {
+        (token & !(HEDGE_TIMER - 1) == HEDGE_TIMER).then_some(token & (HEDGE_TIMER - 1))
+    }
+
     /// Handles an arriving request: rejects it or sends its first attempt.
     fn on_arrival(&mut self, now: Nanos, arrival: Request, actions: &mut Vec<Action>) {
         self.traffic.requests.increment(now, REQUEST_TIME_CONSTANT_S);
--- a/src/decision/request.rs
+++ b/src/decision/request.rs
@@ -19,6 +19,27 @@
     pub(super) is_pending: bool,
     /// Whether the request may have taken effect at the endpoint.
     pub(super) may_have_run: bool,
+    /// A hedge is sent after so long a silence; `None`: none is.
+    pub(super) hedge_after: Option<Nanos>,
+    /// How far its response has come, if it has begun.
+    pub(super) response: Option<ResponseProgress>,
+}
+
+/// A response that has begun and is not complete.
+#[derive(Clone, Copy)]
+pub(super) struct ResponseProgress {
+    pub(super) last_byte_at: Nanos,
+    /// Whether its length is unknown.
+    pub(super) may_be_long: bool,
+}
+
+impl ResponseProgress {
+    /// When its endpoint counts as silent unless more bytes come. A long answer may come in lumps: of what is
+    /// left to the client, half may pass without a byte.
+    fn silent_at(&self, max_silence: Nanos, deadline: Nanos) -> Nanos {
+        let time_left = if self.may_be_long { deadline.saturating_sub(self.last_byte_at) } else { 0 };
+        self.last_byte_at.saturating_add(max_silence.max(time_left / 2))
+    }
 }
 
 /// A request without a final answer.
@@ -80,6 +101,14 @@
         self.class().is_some_and(|c| c.late_value <= 0.0)
     }
 
+    /// How long the endpoint of an attempt may still be silent before the attempt is hedged; `None`: it has
+    /// been silent for too long, or has not begun to answer.
+    pub(super) fn remaining_silence(&self, now: Nanos, attempt: &Attempt) -> Option<Nanos> {
+        let max_silence = self.attempts.iter().rev().find_map(|a| a.hedge_after)?;
+        let silent_at = attempt.response?.silent_at(max_silence, self.deadline);
+        silent_at.checked_sub(now).filter(|remaining| *remaining > 0)
+    }
+
     pub(super) fn has_pending_attempt(&self) -> bool {
         self.attempts.iter().any(|a| a.is_pending)
     }
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -25,6 +25,9 @@
 /// Allowance for the time that a request travels to a node.
 const TRAVEL_ALLOWANCE: Nanos = 50_000_000;
 
+/// How long the attempt's task may take to pass on a response that is held.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// A client's request to be submitted. The engine assigns its id.
 pub struct PendingRequest {
     /// The request as the decision module sees it.
@@ -311,22 +314,58 @@
                 pending.in_flight().for_each(AttemptHandle::mark_answered);
             }
         }
-        let mut event = self.outcome_event(pending, number, outcome.status, outcome.cache_hit);
-        if let Event::Outcome { elapsed, .. } = &mut event {
-            *elapsed = elapsed.saturating_sub(handle.rest_wait().as_nanos() as Nanos);
-        }
+        let event =
+            self.outcome_event(pending, number, outcome.status, outcome.cache_hit, handle.own_delay());
         self.feed(core, event);
         Self::forget(core, id);
     }
 
-    /// Builds the event that reports an attempt's outcome to the module.
-    fn outcome_event(&self, pending: &Pending, number: usize, status: Status, hit: Option<bool>) -> Event {
+    /// Builds the event that reports an attempt's outcome to the module. `own_delay`: the part of its time that the node has no part in.
+    fn outcome_event(
+        &self,
+        pending: &Pending,
+        number: usize,
+        status: Status,
+        hit: Option<bool>,
+        own_delay: Duration,
+    ) -> Event {
         let Attempt { server, sent, .. } = pending.attempts[number];
-        let elapsed = self.clock.now().saturating_sub(sent);
+        let elapsed = self.clock.now().saturating_sub(sent).saturating_sub(own_delay.as_nanos() as Nanos);
         let last = pending.answer.is_none();
         Event::Outcome { id: pending.id, attempt: number as u32, server, status, elapsed, last, hit }
     }
 
+    /// Reports an expired timer to the module, and before it how far the responses have come that the timer waits for.
+    fn on_timer(&self, token: u64) {
+        let core = &mut *self.core.borrow_mut();
+        if let Some(id) = Balancer::hedged_request(token) {
+            for event in self.progress_events(core, id) {
+                self.feed(core, event);
+            }
+        }
+        self.feed(core, Event::Timer(token));
+    }
+
+    /// Builds the events that report when bytes of the responses to a request last came.
+    fn progress_events(&self, core: &Core, id: RequestId) -> Vec<Event> {
+        let attempts = core.pending.get(&id).map(|pending| &pending.attempts);
+        let in_flight = attempts.into_iter().flatten().enumerate();
+        let progress = in_flight.filter_map(|(number, attempt)| {
+            let (handle, _) = attempt.in_flight.as_ref()?;
+            let since_last_byte = handle.last_response_byte()?.elapsed().as_nanos() as Nanos;
+            let last_byte_at = self.clock.now().saturating_sub(since_last_byte);
+            let may_be_long = handle.response_hold.is_holding();
+            Some(Event::ResponseProgress { id, attempt: number as u32, last_byte_at, may_be_long })
+        });
+        progress.collect()
+    }
+
+    /// Has the response passed on at once whose beginning is held for a request. Returns false if none is.
+    fn release_held_response(&self, id: RequestId) -> bool {
+        let core = self.core.borrow();
+        core.pending.get(&id).is_some_and(|p| p.in_flight().any(|handle| handle.response_hold.release()))
+    }
+
     /// Passes an event to the module and carries out its actions, then does the same for the events that these cause immediately.
     fn feed(&self, core: &mut Core, event: Event) {
         let mut events = VecDeque::from([event]);
@@ -360,7 +399,7 @@
                 tokio::task::spawn_local(async move {
                     tokio::time::sleep(Duration::from_nanos(delay)).await;
                     if let Some(engine) = weak_self.upgrade() {
-                        engine.feed(&mut engine.core.borrow_mut(), Event::Timer(token));
+                        engine.on_timer(token);
                     }
                 });
             }
@@ -379,7 +418,7 @@
         let left = pending.deadline.saturating_sub(now);
         if pending.answer.is_none() || left == 0 || !pending.upstream_request.can_send_body() {
             pending.attempts.push(Attempt::unsent(server, now));
-            return Some(self.outcome_event(pending, number, Status::Moot, None));
+            return Some(self.outcome_event(pending, number, Status::Moot, None, Duration::ZERO));
         }
         // The module's timeout assumes that the node receives the complete request immediately, so streamed bodies are exempt.
         let mut attempt_timeout = if timeout == 0 || pending.upstream_request.upload().is_some() {
@@ -394,7 +433,7 @@
                 Some(allowed) => record = allowed,
                 None => {
                     pending.attempts.push(Attempt::unsent(server, now));
-                    return Some(self.outcome_event(pending, number, Status::Moot, None));
+                    return Some(self.outcome_event(pending, number, Status::Moot, None, Duration::ZERO));
                 }
             }
             attempt_timeout = terms.attempt_timeout(attempt_timeout);
@@ -423,6 +462,7 @@
         let max_node_deadline = pending.after_body.map(Duration::from_nanos);
         let limits = AttemptLimits {
             total: Duration::from_nanos(attempt_timeout),
+            answer_due: Duration::from_nanos(left),
             first_byte,
             client,
             max_node_deadline,
@@ -456,7 +496,7 @@
         handle.close_connection();
         task.abort();
         attempt.record_outcome(Status::Cancelled, 0);
-        let event = self.outcome_event(pending, number, Status::Cancelled, None);
+        let event = self.outcome_event(pending, number, Status::Cancelled, None, Duration::ZERO);
         Self::forget(core, id);
         Some(event)
     }
@@ -527,18 +567,32 @@
 impl Ticket {
     /// Waits for the final answer, at most until just before the client's deadline.
     pub async fn answer(&mut self) -> Answer {
-        let Some(receiver) = self.receiver.as_mut() else { return Answer::Overdue };
-        let result = tokio::time::timeout(self.max_wait, receiver).await;
-        match result {
-            Ok(Ok(answer)) => {
-                self.receiver = None;
-                answer
-            }
-            Ok(Err(_)) => Answer::Failed,
-            Err(_) => {
+        match self.answer_within(self.max_wait).await {
+            Some(answer) => answer,
+            None => {
                 crate::proxy::log("the decision module left a request unanswered until its deadline");
-                Answer::Overdue
+                self.overdue_answer().await
+            }
+        }
+    }
+
+    /// Returns the answer that the client gets because its time ends: the response whose beginning is held, if there is one.
+    pub async fn overdue_answer(&mut self) -> Answer {
+        let is_held = self.engine.upgrade().is_some_and(|engine| engine.release_held_response(self.id));
+        match is_held {
+            true => self.answer_within(RELEASE_TIMEOUT).await.unwrap_or(Answer::Overdue),
+            false => Answer::Overdue,
+        }
+    }
+
+    async fn answer_within(&mut self, max_wait: Duration) -> Option<Answer> {
+        let Some(receiver) = self.receiver.as_mut() else { return Some(Answer::Overdue) };
+        match tokio::time::timeout(max_wait, receiver).await.ok()? {
+            Ok(answer) => {
+                self.receiver = None;
+                Some(answer)
             }
+            Err(_) => Some(Answer::Failed),
         }
     }
 }
--- a/src/proxy/http/request_body.rs
+++ b/src/proxy/http/request_body.rs
@@ -10,7 +10,7 @@
 use std::any::Any;
 use std::future::Future;
 use std::io;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -249,29 +249,32 @@
     Broken,
 }
 
-/// Reads the beginning of a body, until it exceeds [`MAX_BUFFERED_BODY`]; returns it and whether it is the complete body. After `hold`, returns
-/// what has arrived by then.
+/// Reads the beginning of a body, until it exceeds [`MAX_BUFFERED_BODY`]; returns it and whether it is the complete body. Once `hold_end`
+/// has completed, returns what has arrived by then.
 pub async fn beginning(
     body: &mut Incoming,
     limits: ProgressLimits,
-    hold: Option<Duration>,
+    hold_end: impl Future<Output = ()>,
 ) -> Result<(Bytes, bool), BodyReadError> {
+    let mut hold_end = pin!(hold_end);
     let mut progress = ProgressTracker::new(steady_nanos());
     let mut buffer = BodyBuffer::new(max_buffered(body));
-    let hold_until = hold.map(|hold| tokio::time::Instant::now() + hold);
     loop {
         if buffer.len() > MAX_BUFFERED_BODY {
             return Ok((buffer.into_bytes(), false));
         }
         let remaining = Duration::from_nanos(progress.stalled_at(&limits).saturating_sub(steady_nanos()));
         let stalled_at = tokio::time::Instant::now() + remaining;
-        let hold_end = hold_until.filter(|until| *until < stalled_at);
-        let frame = match tokio::time::timeout_at(hold_end.unwrap_or(stalled_at), body.frame()).await {
-            Err(_) if hold_end.is_some() => return Ok((buffer.into_bytes(), false)),
-            Err(_) => return Err(BodyReadError::Stalled),
-            Ok(None) => return Ok((buffer.into_bytes(), true)),
-            Ok(Some(Err(_))) => return Err(BodyReadError::Broken),
-            Ok(Some(Ok(frame))) => frame,
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = &mut hold_end => return Ok((buffer.into_bytes(), false)),
+            () = sleep_until(stalled_at) => return Err(BodyReadError::Stalled),
+        };
+        let frame = match frame {
+            None => return Ok((buffer.into_bytes(), true)),
+            Some(Err(_)) => return Err(BodyReadError::Broken),
+            Some(Ok(frame)) => frame,
         };
         if let Ok(data) = frame.into_data() {
             progress.record(steady_nanos(), data.len());
--- a/src/proxy/http/request_handler.rs
+++ b/src/proxy/http/request_handler.rs
@@ -213,7 +213,7 @@
             biased;
             answer = ticket.answer() => answer,
             // The engine's own timeout allows for the slowest upload.
-            () = overdue(upload.as_deref(), client, time_left) => Answer::Overdue,
+            () = overdue(upload.as_deref(), client, time_left) => ticket.overdue_answer().await,
             answer = self.answer_before_end(upload.as_deref(), began, time_limit) => answer,
             () = client.read_buffer.until_disconnected(&client.socket, may_ask) => {
                 return plain(StatusCode::BAD_GATEWAY, CLIENT_GONE_TEXT);
--- a/src/proxy/http/request_parsing.rs
+++ b/src/proxy/http/request_parsing.rs
@@ -108,7 +108,7 @@
     // Danger: a client that stalls in the middle of its body would keep its connection forever, since that counts as busy.
     let read = tokio::select! {
         biased;
-        read = beginning(&mut body, CLIENT_LIMITS, None) => read,
+        read = beginning(&mut body, CLIENT_LIMITS, std::future::pending()) => read,
         () = context.shutdown_deadline.body_due(context.began, Duration::from_nanos(time_limit)) => {
             return Err(ParseError::ShuttingDown);
         }
--- a/src/proxy/http/response_reader.rs
+++ b/src/proxy/http/response_reader.rs
@@ -1,30 +1,18 @@
-//! Reads a node's response: completely if it is short, otherwise the beginning that is buffered.
+//! Reads a node's response: completely if it is short, otherwise the beginning that is held.
 
 use crate::api::Status;
 use crate::proxy::http::request_body::{beginning, NODE_LIMITS};
 use crate::proxy::upstream::attempt::AttemptOutcome;
+use crate::proxy::upstream::response_hold::ResponseHold;
 use crate::proxy::{Body, MAX_BUFFERED_BODY};
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::header::{HeaderName, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
-use std::time::Duration;
+use rushquay_stream_progress::{Framing, Nanos};
 
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 const LOOKUP: HeaderName = HeaderName::from_static("x-lookup");
-/// Maximum time for which a chunked response is buffered before it is streamed.
-const MAX_BUFFERING_TIME: Duration = Duration::from_millis(500);
-
-/// How the end of a response is delimited.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    /// By `Content-Length`, or there is no body.
-    Length,
-    /// By the last chunk.
-    Chunked,
-    /// By the close of the connection. A reset does not end the response.
-    Close,
-}
 
 /// Returns how the end of a response is delimited; `None` if the head is invalid: an informational status, such as a protocol switch, or
 /// both `Content-Length` and `Transfer-Encoding`.
@@ -47,7 +35,7 @@
     pub ended: AttemptOutcome,
     /// Whether the connection can be reused for another request afterwards.
     pub reusable: bool,
-    /// For a long response: its head, the buffered beginning, the rest that is still arriving, and the length of the whole.
+    /// For a long response, and one of unknown length that is passed on before its end: its head, the buffered beginning, the rest that is still arriving, and the length of the whole.
     pub long: Option<(Parts, Bytes, Incoming, Option<u64>)>,
 }
 
@@ -58,9 +46,9 @@
 }
 
 /// Reads a response to its end if it is short. Danger: streaming a body while it still arrives leaves the client with a partial response
-/// if it breaks off, so only bodies that are too long to be buffered are streamed. A request whose response cannot be read may have been
-/// executed.
-pub async fn read(response: Response<Incoming>) -> ResponseReader {
+/// if it breaks off, so only bodies are streamed that are too long to be buffered, or of unknown length and still arriving when they may be
+/// held no longer: at `answer_due` at the latest. A request whose response cannot be read may have been executed.
+pub async fn read(response: Response<Incoming>, hold: &ResponseHold, answer_due: Nanos) -> ResponseReader {
     let Some(framing) = framing(&response) else { return ResponseReader::invalid() };
     let (head, mut body) = response.into_parts();
     let length = body.size_hint().exact();
@@ -69,10 +57,9 @@
             (Bytes::new(), false)
         }
         _ => {
-            // A chunked response may be a long one, whose first bytes must not be delayed for long. One that is delimited by the
-            // close of its connection is buffered for as long as the node makes progress: a reset until then shows that it is incomplete.
-            let hold = (framing == Framing::Chunked).then_some(MAX_BUFFERING_TIME);
-            match beginning(&mut body, NODE_LIMITS, hold).await {
+            // Only successful responses are streamed.
+            let streamed_as = if head.status == StatusCode::OK { framing } else { Framing::Length };
+            match beginning(&mut body, NODE_LIMITS, hold.ended(streamed_as, answer_due)).await {
                 Ok(read) => read,
                 Err(_) => return ResponseReader::invalid(),
             }
@@ -81,7 +68,6 @@
     let unprocessed = head.headers.get(&UNPROCESSED).is_some_and(|v| v == "1");
     let status = match head.status {
         StatusCode::OK => Status::Ok,
-        // Only successful responses are streamed.
         _ if !whole => return ResponseReader::invalid(),
         StatusCode::NOT_FOUND => Status::Miss,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Status::Full,
--- a/src/proxy/upstream/attempt.rs
+++ b/src/proxy/upstream/attempt.rs
@@ -4,6 +4,7 @@
 use crate::proxy::http::headers::CORRELATION_ID;
 use crate::proxy::http::request_body::steady_nanos;
 use crate::proxy::http::upload::Upload;
+use crate::proxy::upstream::response_hold::ResponseHold;
 use crate::proxy::upstream::socket::Socket;
 use crate::proxy::Body;
 use hyper::body::Bytes;
@@ -13,6 +14,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// A client's request in the form in which it is forwarded to upstream nodes.
 pub struct UpstreamRequest {
@@ -53,8 +55,10 @@
 /// The time limits of an attempt, counted from its start.
 #[derive(Clone, Copy)]
 pub struct AttemptLimits {
-    /// Limit on the whole attempt.
+    /// How long the node may be silent: until its response begins, and between bytes of it.
     pub total: Duration,
+    /// When the answer is due at the latest, whatever the node does.
+    pub answer_due: Duration,
     /// Limit until the first byte is written; `None`: only `total` applies. Danger: nodes deduplicate against the previous
     /// attempt only for a limited time, which may have passed by the time a connection is established.
     pub first_byte: Option<Duration>,
@@ -66,9 +70,9 @@
 }
 
 impl AttemptLimits {
-    /// Creates limits with no limit on the first byte and a client deadline equal to `total`.
+    /// Creates limits with no limit on the first byte, and `total` for everything else.
     pub fn with_total(total: Duration) -> Self {
-        AttemptLimits { total, first_byte: None, client: total, max_node_deadline: None }
+        AttemptLimits { total, answer_due: total, first_byte: None, client: total, max_node_deadline: None }
     }
 }
 
@@ -96,6 +100,10 @@
     request: Cell<RequestState>,
     /// How long the attempt waited for a connection to have rested.
     rest_wait: Cell<Duration>,
+    /// The beginning of its response, while it is held.
+    pub response_hold: ResponseHold,
+    /// The head of its response has come.
+    has_response: Cell<bool>,
 }
 
 impl AttemptHandle {
@@ -120,9 +128,21 @@
         self.rest_wait.set(self.rest_wait.get() + waited);
     }
 
-    /// Returns how long the attempt waited for a connection to have rested, which says nothing about its node.
-    pub fn rest_wait(&self) -> Duration {
-        self.rest_wait.get()
+    /// Returns for how long the attempt waited for a connection to have rested, or held a response that was then passed on: this says
+    /// nothing about its node.
+    pub fn own_delay(&self) -> Duration {
+        self.rest_wait.get() + self.response_hold.held_for()
+    }
+
+    /// Records that the head of the response has come.
+    pub fn record_response(&self) {
+        self.has_response.set(true);
+    }
+
+    /// Returns when the last byte of the response came that has come so far; `None`: not even its head has.
+    pub fn last_response_byte(&self) -> Option<Instant> {
+        let socket = self.socket.borrow();
+        socket.as_ref().filter(|_| self.has_response.get())?.last_response_byte()
     }
 
     /// Sets the connection that the attempt is written to.
--- a/src/proxy/upstream/mod.rs
+++ b/src/proxy/upstream/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod load_assignment;
 mod pooled_connection;
 pub(crate) mod request_progress;
+pub(crate) mod response_hold;
 mod reuse;
 pub(crate) mod socket;
 
@@ -41,7 +42,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 /// Maximum size of one response: body, framing, and interim responses. Danger: hyper keeps reading for as long as interim
 /// responses arrive, and reports none of them.
@@ -56,6 +57,8 @@
 struct AttemptDeadlines {
     /// When the attempt must be complete.
     total: Nanos,
+    /// When the beginning of a response must be passed on at the latest.
+    answer_due: Nanos,
     /// When its first byte must have been written; `None`: no limit besides `total`.
     first_byte: Option<Nanos>,
     /// When the client stops waiting, after which its response is useless.
@@ -70,6 +73,7 @@
         let max_node_deadline = limits.max_node_deadline.map_or(Nanos::MAX, |max| max.as_nanos() as Nanos);
         AttemptDeadlines {
             total: at(limits.total),
+            answer_due: at(limits.answer_due),
             first_byte: limits.first_byte.map(at),
             client: at(limits.client),
             max_node_deadline,
@@ -84,6 +88,17 @@
     epoch: u64,
 }
 
+/// The connection on which a response came.
+struct Exchanged {
+    server: ServerId,
+    kind: u32,
+    epoch: u64,
+    /// It had carried another request before.
+    reused: bool,
+    /// The node closes it behind the response.
+    is_closing: bool,
+}
+
 /// A listed endpoint and its idle connections.
 struct Node {
     addr: Option<SocketAddr>,
@@ -353,7 +368,7 @@
         outcome
     }
 
-    /// Runs an attempt under its overall timeout.
+    /// Runs an attempt until it times out.
     async fn attempt_with_timeout(
         self: &Rc<Self>,
         server: ServerId,
@@ -363,13 +378,14 @@
         importance: RoutePriority,
     ) -> AttemptOutcome {
         let deadlines = AttemptDeadlines::from_limits(&limits, steady_nanos());
-        let until = Instant::now() + limits.total;
-        match timeout_at(until, self.exchange(server, upstream_request, deadlines, handle, importance)).await
-        {
-            Ok(outcome) => outcome,
-            // A request that was not written completely has not run.
-            Err(_) if handle.is_written() => Status::Timeout.into(),
-            Err(_) => Status::ConnectFailed.into(),
+        tokio::select! {
+            biased;
+            outcome = self.exchange(server, upstream_request, deadlines, handle, importance) => outcome,
+            () = timed_out(handle, &limits) => match handle.is_written() {
+                true => Status::Timeout.into(),
+                // A request that was not written completely has not run.
+                false => Status::ConnectFailed.into(),
+            },
         }
     }
 
@@ -496,24 +512,25 @@
                 connection.close(NodeCloseCause::Unsolicited);
                 return Status::ConnectFailed.into();
             }
-            return self.read_response(server, kind, epoch, connection, reused, response).await;
+            let is_closing = response.headers().get(CONNECTION).is_some_and(|v| v == "close");
+            connection.keeps_alive.set(!is_closing && response.version() == Version::HTTP_11);
+            handle.record_response();
+            let ended = read(response, &handle.response_hold, deadlines.answer_due).await;
+            let exchanged = Exchanged { server, kind, epoch, reused, is_closing };
+            return self.finish_response(&exchanged, connection, ended);
         }
     }
 
-    /// Reads a response, and returns its connection to the pool if it can be reused.
-    async fn read_response(
+    /// Returns the outcome of a response that was read, and its connection to the pool if it can be reused.
+    fn finish_response(
         self: &Rc<Self>,
-        server: ServerId,
-        kind: u32,
-        epoch: u64,
+        exchanged: &Exchanged,
         connection: Connection,
-        reused: bool,
-        response: Response<hyper::body::Incoming>,
+        response: ResponseReader,
     ) -> AttemptOutcome {
-        let closing = response.headers().get(CONNECTION).is_some_and(|v| v == "close");
-        connection.keeps_alive.set(!closing && response.version() == Version::HTTP_11);
-        let ResponseReader { mut ended, reusable, long } = read(response).await;
-        if !reused && ended.status == Status::Full && closing {
+        let &Exchanged { server, kind, epoch, reused, is_closing } = exchanged;
+        let ResponseReader { mut ended, reusable, long } = response;
+        if !reused && ended.status == Status::Full && is_closing {
             // Danger: a node whose connection table is full answers a new connection like this and closes it, while it serves its
             // existing ones. That is a failed connect, not a full request queue.
             self.on_connection_rejected(kind);
@@ -656,6 +673,26 @@
     }
 }
 
+/// Returns when an attempt has timed out: its node has been silent for as long as it may be, or the answer is due and there is nothing
+/// that could be passed on.
+async fn timed_out(handle: &AttemptHandle, limits: &AttemptLimits) {
+    let started = Instant::now();
+    let answer_due = started + limits.answer_due;
+    let mut until = started + limits.total;
+    loop {
+        sleep_until(until).await;
+        if handle.response_hold.is_holding() {
+            // It is passed on when the answer is due.
+            return std::future::pending().await;
+        }
+        // Danger: a node that is answering is not silent, however slowly it answers.
+        match handle.last_response_byte().map(|last| (last + limits.total).min(answer_due)) {
+            Some(later) if later > until => until = later,
+            _ => return,
+        }
+    }
+}
+
 /// A connection with a streamed response in progress. It returns to the pool when the response is complete, and is closed on drop.
 struct ReturnToPool {
     connection: Connection,
--- a/src/proxy/upstream/socket.rs
+++ b/src/proxy/upstream/socket.rs
@@ -50,6 +50,8 @@
     last_activity: Cell<Instant>,
     /// When the first byte of the response was read; `None`: none was.
     response_started: Cell<Option<Instant>>,
+    /// When bytes of the current message's response were last read.
+    last_response_byte: Cell<Option<Instant>>,
     /// When the message was written completely.
     written_at: Cell<Option<Instant>>,
     /// Since when no message is outstanding on a connection that is kept; `None`: one is.
@@ -90,6 +92,7 @@
             read_limit: Cell::new(usize::MAX),
             last_activity: Cell::new(Instant::now()),
             response_started: Cell::new(None),
+            last_response_byte: Cell::new(None),
             written_at: Cell::new(None),
             resting_since: Cell::new(None),
             unsolicited: Cell::new(None),
@@ -110,6 +113,7 @@
         self.progress.replace(progress.clone());
         self.read_limit.set(read_limit);
         self.response_started.set(None);
+        self.last_response_byte.set(None);
         self.written_at.set(None);
         self.resting_since.set(None);
         self.denied.set(None);
@@ -132,6 +136,11 @@
         self.response_started.get()?.checked_duration_since(self.written_at.get()?)
     }
 
+    /// Returns when bytes of the response to the current message were last read; `None`: none were.
+    pub fn last_response_byte(&self) -> Option<Instant> {
+        self.last_response_byte.get()
+    }
+
     /// Returns how long after the last response the peer sent bytes that no message had asked for; `None`: it sent none.
     pub fn unsolicited(&self) -> Option<Duration> {
         self.unsolicited.get()
@@ -146,8 +155,11 @@
         }
         match self.resting_since.get() {
             Some(since) => self.unsolicited.set(Some(now - since)),
-            None if self.response_started.get().is_none() => self.response_started.set(Some(now)),
-            None => {}
+            None => {
+                let first_byte = self.response_started.get().unwrap_or(now);
+                self.response_started.set(Some(first_byte));
+                self.last_response_byte.set(Some(now));
+            }
         }
     }
 
--- a/tests/slow_answers/main.rs
+++ b/tests/slow_answers/main.rs
@@ -21,6 +21,8 @@
 /// An answer that is late by at most this earns nothing, and is not lost.
 const GRACE: Duration = Duration::from_millis(500);
 const NODES: usize = 3;
+/// Long enough for a connection to a node to have rested: an attempt that waits for one is repeated too, for another reason.
+const REST: Duration = Duration::from_millis(150);
 
 const fn ms(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
@@ -131,10 +133,31 @@
                 assert_whole(class, plan, &received);
                 assert_eq!(plans.attempts(number), 1, "{class}, {plan:?}");
             }
+            std::thread::sleep(REST);
         }
     }
 }
 
+/// Guards against nodes that are avoided, so that later requests are refused, for giving long answers in lumps.
+#[test]
+fn nodes_that_give_long_answers_in_lumps_are_not_avoided() {
+    let plans = Plans::default();
+    let proxy = start(&plans, |_| {});
+    let clients: Vec<_> = (0..10)
+        .map(|n| {
+            let framing = [Framing::Chunked, Framing::Close][n % 2];
+            let plan = AnswerPlan::in_lumps(framing, 139_252, 100_000, ms(400));
+            let (proxy, number) = (proxy.clone(), plans.add(plan));
+            std::thread::sleep(ms(100));
+            std::thread::spawn(move || {
+                let received = ask(&proxy, &request("GET", "read", number, wait_of("read"), ""), b"");
+                assert_whole("read", &plan, &received);
+            })
+        })
+        .collect();
+    clients.into_iter().for_each(|client| client.join().expect("a client"));
+}
+
 /// Guards against a bound on one side of which an answer of untold length is dropped: at the longest short body, and a byte beyond.
 #[test]
 fn answers_on_both_sides_of_the_longest_short_body_are_passed_on() {
--- a/tests/slow_answers/node.rs
+++ b/tests/slow_answers/node.rs
@@ -137,6 +137,8 @@
         let plans = self.clone();
         std::thread::spawn(move || {
             for stream in node.taken {
+                // Held back by the system, small pieces would come 40 ms apart.
+                stream.set_nodelay(true).expect("set");
                 let (peer, plans) = (Peer::new(stream), plans.clone());
                 std::thread::spawn(move || plans.serve_connection(peer));
             }
