Run nothing again under an id that may have run, though its client has left

Cause: an id was known for as long as its request was open in this process. What may have run outlives its client.

The second gets 409: a refusal would say that the first has not run. Safe requests claim nothing. A sound client is not touched: its retry has an id of its own.

--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -5,6 +5,7 @@
 use crate::proxy::clock::{margin, Clock};
 use crate::proxy::config::active_config::ActiveConfig;
 use crate::proxy::http::answer::Answer;
+use crate::proxy::http::request_ids::ExecutionClaim;
 use crate::proxy::observability::fleet_stats::{self, Kind};
 use crate::proxy::observability::request_trace::{self, Event as Traced};
 use crate::proxy::upstream::attempt::{AttemptHandle, AttemptLimits, AttemptOutcome, UpstreamRequest};
@@ -38,6 +39,8 @@
     pub upload: Nanos,
     /// The attempt policy of its cluster and route; `None`: none applies.
     pub attempt_policy: Option<Rc<AttemptPolicy>>,
+    /// The claim of its id; `None`: it may run any number of times.
+    pub claim: Option<ExecutionClaim>,
 }
 
 /// One attempt of a request.
@@ -80,6 +83,8 @@
     client_until: Nanos,
     /// How long its client waits after the last byte of a streamed body; `None`: the last byte has arrived.
     after_body: Option<Nanos>,
+    /// The claim of its id; `None`: it may run any number of times.
+    claim: Option<ExecutionClaim>,
     /// The channel for the final answer; `None`: it was sent.
     answer: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
@@ -98,6 +103,12 @@
         Some(first.saturating_add(self.deduplicated_for?).saturating_sub(TRAVEL_ALLOWANCE))
     }
 
+    /// Ends the claim of its id. What may have run must not run again under it.
+    fn end_claim(mut self) {
+        let may_have_run = self.attempts.iter().any(|a| a.status.is_none_or(|s| !s.never_ran()));
+        self.claim.iter_mut().filter(|_| may_have_run).for_each(ExecutionClaim::record_execution);
+    }
+
     /// Returns whether a retry by the client would still be deduplicated.
     fn is_retry_harmless(&self) -> bool {
         let reaches_same_group =
@@ -235,7 +246,7 @@
 
     /// Submits a request. The returned ticket yields its answer.
     pub fn submit(&self, pending_request: PendingRequest) -> Ticket {
-        let PendingRequest { mut request, upstream_request: job, upload, attempt_policy: terms } =
+        let PendingRequest { mut request, upstream_request: job, upload, attempt_policy: terms, claim } =
             pending_request;
         let core = &mut *self.core.borrow_mut();
         let now = self.clock.now();
@@ -262,6 +273,7 @@
             deadline,
             client_until,
             after_body,
+            claim,
             answer,
             attempts,
         };
@@ -550,7 +562,7 @@
         let is_finished =
             |p: &Pending| p.answer.is_none() && p.attempts.iter().all(|a| a.in_flight.is_none());
         if core.pending.get(&id).is_some_and(is_finished) {
-            core.pending.remove(&id);
+            core.pending.remove(&id).into_iter().for_each(Pending::end_claim);
         }
     }
 }
--- a/src/proxy/http/mod.rs
+++ b/src/proxy/http/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod request_body;
 pub(crate) mod request_framing;
 pub(crate) mod request_handler;
+pub(crate) mod request_ids;
 pub(crate) mod request_parsing;
 pub(crate) mod response_reader;
 pub(crate) mod responses;
--- a/src/proxy/http/request_handler.rs
+++ b/src/proxy/http/request_handler.rs
@@ -1,6 +1,6 @@
 //! Handles one request: parses and admits it, submits it to its engine, and answers it exactly once.
 
-use crate::api::Nanos;
+use crate::api::{Effect, Nanos};
 use crate::proxy::clock::margin;
 use crate::proxy::config::active_config::ActiveConfig;
 use crate::proxy::engine::{Engine, PendingRequest, Ticket};
@@ -38,18 +38,6 @@
 /// An answer this long after the client's deadline violates an invariant.
 const LATE_ANSWER_TOLERANCE: Duration = Duration::from_millis(500);
 
-/// The id of an unanswered request; released on drop.
-struct OpenRequestId<'a> {
-    server: &'a Server,
-    id: HeaderValue,
-}
-
-impl Drop for OpenRequestId<'_> {
-    fn drop(&mut self) {
-        self.server.open_request_ids.borrow_mut().remove(&self.id);
-    }
-}
-
 /// Counts the outcome of a request.
 struct RequestAccounting<'a> {
     server: &'a Server,
@@ -148,7 +136,7 @@
         let parsed = parse_request(&context, head, body).await;
         let entry = self.metrics.take(class);
         let mut account = RequestAccounting { server: self, entry, active, class, since: Instant::now() };
-        let pending = match parsed {
+        let mut pending = match parsed {
             Ok(pending) => pending,
             Err(ParseError::Invalid(status, why)) => {
                 account.failed(Cause::BadRequest);
@@ -165,11 +153,18 @@
         // Danger: nodes and the deduplication of retries identify a request by its id; a second request with the same id belongs to
         // another client, and must not interfere with the first.
         let id = pending.upstream_request.headers[CORRELATION_ID].clone();
-        if !self.open_request_ids.borrow_mut().insert(id.clone()) {
+        let Some(_open) = self.request_ids.open(&id) else {
             account.failed(Cause::DuplicateId);
             return bad(StatusCode::CONFLICT, "a request with this X-Correlation-Id is open");
+        };
+        // Danger: what may have run outlives its client and its answer. A refusal would say that it has not run.
+        if account.active.settings.classes[class].effect != Effect::Safe {
+            pending.claim = self.request_ids.claim(&id);
+            if pending.claim.is_none() {
+                account.failed(Cause::DuplicateId);
+                return bad(StatusCode::CONFLICT, "a request with this X-Correlation-Id may have run");
+            }
         }
-        let _open = OpenRequestId { server: self, id };
         let upload = pending.upstream_request.upload().cloned();
         let response = self.answer(pending, engine, client, began, &mut account).await;
         client.has_unread_body.set(upload.is_some_and(|upload| !upload.is_whole()));
--- a/src/proxy/http/request_parsing.rs
+++ b/src/proxy/http/request_parsing.rs
@@ -155,6 +155,7 @@
         upstream_request: UpstreamRequest { method: head.method, uri, headers, body },
         upload,
         attempt_policy: terms,
+        claim: None,
     })
 }
 
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -13,6 +13,7 @@
 use crate::proxy::discovery::{self, Discovery};
 use crate::proxy::engine::Engine;
 use crate::proxy::envoy;
+use crate::proxy::http::request_ids::RequestIds;
 use crate::proxy::listener::client_connection::Client;
 use crate::proxy::listener::descriptors::Descriptors;
 use crate::proxy::listener::listener_socket::{self, ListenSocket};
@@ -28,14 +29,13 @@
 use crate::proxy::upstream::load_assignment::ClusterSet;
 use crate::proxy::upstream::Upstreams;
 use crate::proxy::{MAX_BUFFERED_BODY, MAX_READ_AHEAD};
-use hyper::header::HeaderValue;
 use rushquay_admin::{RequestMetrics, ServingState};
 use rushquay_endpoints::WatchMode;
 use rushquay_handover::{HandoverState, Incumbent, ResourceShare, SlowStartAllowance};
 use rushquay_invariants::{may_serve, NotReady, ServeFacts};
 use rushquay_xds::client::Outage;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashSet, VecDeque};
+use std::collections::VecDeque;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -79,8 +79,7 @@
     pub waiting: RefCell<VecDeque<TcpStream>>,
     /// Failures of accept for lack of descriptors or memory.
     pub shortage: RefCell<Outage>,
-    /// The ids of all unanswered requests. The hash is keyed, since clients choose the ids.
-    pub open_request_ids: RefCell<HashSet<HeaderValue>>,
+    pub request_ids: Rc<RequestIds>,
     /// Notified when a client connection has closed.
     pub client_left: Notify,
     /// The last connection number, for the request trace.
@@ -163,7 +162,7 @@
         clients: RefCell::default(),
         waiting: RefCell::default(),
         shortage: RefCell::default(),
-        open_request_ids: RefCell::default(),
+        request_ids: Rc::default(),
         client_left: Notify::new(),
         connections: Cell::new(0),
         metrics: metrics.clone(),
