Share claimed request ids between the two processes of an upgrade

Cause: ids were known to one process alone; old and new process count as one.

Change: the incumbent creates a log in TMPDIR when it offers the hand-over, with all ids that are taken. From then on each process appends its claim before it sends a request and reads what was appended: the first of two claims counts, whichever process wrote it. Whoever is alone again reads the rest and removes the log; outside an upgrade nothing is written.

--- a/crates/core/handover/src/incumbent.rs
+++ b/crates/core/handover/src/incumbent.rs
@@ -56,6 +56,11 @@
         self.share_beside_predecessor = None;
     }
 
+    /// Whether neither a predecessor nor a successor runs beside this process.
+    pub fn is_alone(&self) -> bool {
+        self.state == State::Alone && self.share_beside_predecessor.is_none()
+    }
+
     /// The current share of this process.
     pub fn share(&self) -> ResourceShare {
         match (self.state, self.share_beside_predecessor) {
@@ -113,7 +118,7 @@
         }
         // Danger: two successors with one half of the limits each, beside the incumbent with its half, would exceed
         // the limits.
-        if self.state != State::Alone || self.share_beside_predecessor.is_some() {
+        if !self.is_alone() {
             return Reply::ThenClose(IncumbentMessage::Busy);
         }
         self.state = State::Offered(peer);
--- a/src/proxy/process/handover.rs
+++ b/src/proxy/process/handover.rs
@@ -25,8 +25,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-/// Descriptors that a hand-over needs: its Unix socket, the connections to it, and a copy of the listening socket.
-pub const DESCRIPTORS: usize = 6;
+/// Descriptors that a hand-over needs: its Unix socket, the connections to it, a copy of the listening socket, and the log of claims.
+pub const DESCRIPTORS: usize = 7;
 /// How long to wait for an answer from the old process. Danger: a hung process may accept the connection and never answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1000);
 /// The delay before the old process is asked again, and before another `accept` after a failed one.
@@ -215,6 +215,8 @@
     fn handover_state(&self) -> HandoverState;
     /// Sets the share of the resources that this process may use from now on.
     fn apply_share(&self, share: ResourceShare);
+    /// Called when no other process serves at the address any more.
+    fn on_alone(&self);
 }
 
 /// Serves hand-overs to new processes.
@@ -281,8 +283,14 @@
 
     /// Applies the share of the resources that this process may use now.
     fn hold(&self) {
-        let share = self.machine.borrow().share();
+        let (share, is_alone) = {
+            let machine = self.machine.borrow();
+            (machine.share(), machine.is_alone())
+        };
         self.me.apply_share(share);
+        if is_alone {
+            self.me.on_alone();
+        }
     }
 
     /// Whether a successor serves in place of this process.
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -22,6 +22,7 @@
 use crate::proxy::observability::admin::{self, AdminListener};
 use crate::proxy::observability::request_trace::{self, Event};
 use crate::proxy::process::handover::{self, HandoverServer, ListenerOwner};
+use crate::proxy::process::shared_claims;
 use crate::proxy::process::signals::SignalFlag;
 use crate::proxy::process::startup::{StartupPlan, TakeOver};
 use crate::proxy::process::supervised::Supervised;
@@ -125,14 +126,7 @@
     let clock = Clock::by(&config.clocks);
     let host = config.supervisor.as_ref().map(|h| h.socket.clone());
     let Components { front, rollout, policy } = match config.envoy.clone() {
-        Some(source) => {
-            let (settings, names) = (config.settings, config.names);
-            let pools =
-                ClusterSet::new(settings, names, config.seed, descriptors.clone(), metrics.clone(), clock);
-            let me = envoy::ProxyIdentity { name: config.name, seed: config.seed, listen: bound, clock };
-            envoy::follow(source, pools.clone(), me)?;
-            Components { front: Backend::Clusters(pools), rollout: None, policy: None }
-        }
+        Some(source) => envoy_clusters(config, source, bound, clock, descriptors.clone(), metrics.clone())?,
         None => {
             single_cluster(config, clock, descriptors.clone(), metrics.clone(), hangup, inherited.policy)?
         }
@@ -162,13 +156,16 @@
         clients: RefCell::default(),
         waiting: RefCell::default(),
         shortage: RefCell::default(),
-        request_ids: Rc::default(),
+        request_ids: RequestIds::new(handover_path.as_deref().map(shared_claims::log_path)),
         client_left: Notify::new(),
         connections: Cell::new(0),
         metrics: metrics.clone(),
         rollout,
         policy,
     });
+    if predecessor.is_some() {
+        server.request_ids.join();
+    }
     server.publish_status();
     if let Some(socket) = host {
         let reporter = server.clone();
@@ -243,11 +240,17 @@
 }
 
 impl ListenerOwner for Server {
+    fn on_alone(&self) {
+        self.request_ids.stop_sharing();
+    }
+
     fn used_descriptors(&self) -> usize {
         self.reserved_descriptors + self.descriptors.taken()
     }
 
     fn handover_state(&self) -> HandoverState {
+        // Danger: the successor reads it as soon as it has the offer.
+        self.request_ids.share();
         let settings = self.rollout.as_ref().and_then(|r| r.assignment_text());
         let cold = |c: ColdEndpointAllowance| SlowStartAllowance {
             node: c.server,
@@ -272,6 +275,21 @@
     policy: Option<Rc<PolicyClient>>,
 }
 
+/// Starts the clusters of an Envoy configuration.
+fn envoy_clusters(
+    config: Config,
+    source: envoy::EnvoySource,
+    listen: SocketAddr,
+    clock: Clock,
+    descriptors: Rc<Descriptors>,
+    metrics: Arc<RequestMetrics>,
+) -> Result<Components, String> {
+    let pools = ClusterSet::new(config.settings, config.names, config.seed, descriptors, metrics, clock);
+    let me = envoy::ProxyIdentity { name: config.name, seed: config.seed, listen, clock };
+    envoy::follow(source, pools.clone(), me)?;
+    Ok(Components { front: Backend::Clusters(pools), rollout: None, policy: None })
+}
+
 /// Starts one decision module on the endpoint list of the proxy's own discovery, merged with the control service's list if it subscribes to
 /// one.
 fn single_cluster(
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -570,3 +570,46 @@
     client.ask("read", "");
     assert_eq!(client.answer().status(), 503);
 }
+
+/// Guards against a change that runs in both processes of an upgrade, when its id comes again at the other one.
+#[test]
+fn an_id_runs_in_one_process_of_an_upgrade() {
+    const CHANGES: usize = 12;
+    let place = Place::new();
+    let seen = Seen::new();
+    let servers = [member("o1", node("o1", &seen), "origin", "ready")];
+    let mut old = place.start(&servers);
+    old.yes();
+    // Returns the status of the answer to a change.
+    let change = |client: &mut Peer, id: &str| {
+        client.write(&get_as(id, "order", "Content-Length: 0\r\n").replace("GET", "PUT"));
+        client.answer().status()
+    };
+    let runs = || seen.books.lock().expect("whole").ran_at("o1");
+    let mut at_old = Vec::new();
+    for n in 0..2 * CHANGES {
+        let mut client = Peer::to(place.listen);
+        assert_eq!(change(&mut client, &format!("before-{n}")), 200);
+        at_old.push(client);
+    }
+    let mut new = place.start(&servers);
+    new.yes();
+    let (old_first, new_first) = at_old.split_at_mut(CHANGES);
+    for (n, client) in old_first.iter_mut().enumerate() {
+        assert_eq!(change(client, &format!("old-{n}")), 200);
+    }
+    // New connections go to either process.
+    for (n, client) in new_first.iter_mut().enumerate() {
+        let id = format!("new-{n}");
+        assert_eq!(change(&mut Peer::to(place.listen), &id), 200);
+        assert_eq!(change(client, &id), 409);
+    }
+    assert_eq!(runs(), 4 * CHANGES);
+    old.signal("-TERM");
+    assert_eq!(old.child.wait().expect("ended").code(), Some(0));
+    for id in (0..CHANGES).flat_map(|n| [format!("before-{n}"), format!("old-{n}"), format!("new-{n}")]) {
+        assert_eq!(change(&mut Peer::to(place.listen), &id), 409, "{id}");
+    }
+    assert_eq!(runs(), 4 * CHANGES);
+    assert_eq!(change(&mut Peer::to(place.listen), "another"), 200);
+}
