--- a/tests/long_bodies.rs
+++ b/tests/long_bodies.rs
@@ -7,7 +7,7 @@
 use rand_pcg::Pcg64Mcg;
 use rig::*;
 use std::collections::HashMap;
-use std::io::{Read, Write};
+use std::io::{BufRead, Read, Write};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -33,6 +33,30 @@
     Stalled,
     /// It reads a few bytes from time to time.
     Trickling,
+    /// It reads at a pace that it draws for each body, 100 kB to 1 MB a second, and answers.
+    Slow,
+}
+
+/// The time between two reads of a slow node.
+const READ_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Reads a body of this length, or in chunks, slowly; `None`: it does not come whole.
+fn read_slowly(node: &mut Peer, length: Option<usize>) -> Option<()> {
+    let step = [2_000, 5_000, 10_000, 20_000][node.0.get_ref().peer_addr().ok()?.port() as usize % 4];
+    let mut tail = Vec::new();
+    let mut left = length.unwrap_or(usize::MAX);
+    while left > 0 {
+        std::thread::sleep(READ_INTERVAL);
+        let mut part = vec![0; step.min(left)];
+        let n = node.0.get_mut().read(&mut part).ok().filter(|n| *n > 0)?;
+        left -= n;
+        tail.extend_from_slice(&part[..n]);
+        tail.drain(..tail.len().saturating_sub(7));
+        if length.is_none() && tail.ends_with(b"\r\n0\r\n\r\n") {
+            return Some(());
+        }
+    }
+    Some(())
 }
 
 /// How often the node has got each request whole, by its path.
@@ -48,9 +72,16 @@
                 std::thread::sleep(PAUSE);
                 node.0.get_mut().read_exact(&mut [0; 10_000]).ok()?;
             },
+            NodeKind::Slow => {
+                // What came with the head is in the reader's buffer.
+                let buffered = node.0.buffer().len();
+                node.0.consume(buffered);
+                let rest = length.map(|length| length.saturating_sub(buffered));
+                read_slowly(&mut node, rest)?;
+            }
         }
         *runs.lock().expect("runs").entry(path).or_default() += 1;
-        if kind == NodeKind::Sound {
+        if matches!(kind, NodeKind::Sound | NodeKind::Slow) {
             node.0.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").ok()?;
         }
     }
@@ -230,6 +261,12 @@
     play_drawn(NodeKind::Trickling, 8, 3, BodyPlan::draw_long);
 }
 
+/// Guards against a final answer seconds after its time behind a large request that a node reads slowly.
+#[test]
+fn bodies_that_a_node_reads_slowly_are_answered_in_time() {
+    play_drawn(NodeKind::Slow, 8, 4, BodyPlan::draw_long);
+}
+
 /// Guards against a client that is given up while it still sends, because its node's connection comes up late.
 #[test]
 fn a_client_that_still_sends_while_its_node_s_connection_comes_up_is_not_given_up() {
