Stay behind a stop while long answers are still being passed on

Cause: the process ended on its own at the longest deadline and 0.6 s, whatever was still on its way.

Where an answer falls due because the process ends, a response that is held is passed on rather than replaced by a 504.

--- a/src/proxy/http/request_handler.rs
+++ b/src/proxy/http/request_handler.rs
@@ -209,7 +209,10 @@
             answer = ticket.answer() => answer,
             // The engine's own timeout allows for the slowest upload.
             () = overdue(upload.as_deref(), client, time_left) => ticket.overdue_answer().await,
-            answer = self.answer_before_end(upload.as_deref(), began, time_limit) => answer,
+            refusal = self.refusal_before_end(upload.as_deref(), began, time_limit) => match refusal {
+                Some(refusal) => refusal,
+                None => ticket.overdue_answer().await,
+            },
             () = client.read_buffer.until_disconnected(&client.socket, may_ask) => {
                 return plain(StatusCode::BAD_GATEWAY, CLIENT_GONE_TEXT);
             }
@@ -238,23 +241,23 @@
         pending.upload = pending.upload.min(left);
     }
 
-    /// Returns the answer that a request must have before this process ends. An upload is refused while its last byte has not arrived:
+    /// Returns when a request must have its answer because this process ends. An upload is refused while its last byte has not arrived:
     /// later it may have run, and there would be no time to say so.
-    async fn answer_before_end(
+    async fn refusal_before_end(
         &self,
         upload: Option<&Upload>,
         began: Instant,
         time_limit: Duration,
-    ) -> Answer {
+    ) -> Option<Answer> {
         if let Some(upload) = upload {
             self.shutdown_deadline.body_due(began, time_limit).await;
             if upload.withdraw() {
                 self.metrics.refusals.one_more(Cause::NotWritten);
-                return Answer::Rejected(Duration::ZERO);
+                return Some(Answer::Rejected(Duration::ZERO));
             }
         }
         self.shutdown_deadline.answers_due().await;
-        Answer::Overdue
+        None
     }
 
     /// Returns whether the client has disconnected. Danger: it may have disconnected before its request was read, or while the previous
--- a/src/proxy/listener/graceful_shutdown.rs
+++ b/src/proxy/listener/graceful_shutdown.rs
@@ -23,6 +23,8 @@
 const MAX_ACCEPT_TIME: Duration = Duration::from_millis(600);
 /// The process ends by the longest request deadline that is awaited plus this, counted from SIGTERM; later it may be killed.
 const SHUTDOWN_ALLOWANCE: Duration = Duration::from_millis(600);
+/// How much longer the process stays while long responses are still being passed on. It may be killed before.
+const STREAMING_ALLOWANCE: Duration = Duration::from_secs(20);
 /// Maximum number of connections accepted from the listen queue when the listener is closed; no queue is longer.
 const MAX_QUEUED_CONNECTIONS: usize = 4096;
 
@@ -128,25 +130,41 @@
     }
 
     /// Waits until all clients have disconnected. Shortly before `end`, stops reading from the others, so that only requests already read
-    /// are answered.
+    /// are answered; from `end` on, waits for those responses alone that are still being passed on.
     async fn await_last_responses(&self, end: Instant) {
         let read_until = end - FINAL_WRITE_WINDOW;
-        while !self.clients.borrow().is_empty() {
+        while !self.clients.borrow().is_empty() && Instant::now() < end {
             let still_reading = Instant::now() < read_until;
             tokio::select! {
                 () = self.client_left.notified() => {}
                 () = sleep_until(read_until), if still_reading => {
                     self.clients.borrow().iter().for_each(|c| c.read_buffer.close());
                 }
-                () = sleep_until(end) => {
-                    crate::proxy::log("ended with clients still connected");
-                    for client in self.clients.borrow().iter() {
-                        self.record_process_end(client);
-                        client.mark_cut_off();
-                    }
-                    return;
-                }
+                () = sleep_until(end) => {}
             }
         }
+        // Danger: a response that the process cuts off by ending is lost, and one that it is killed over is not.
+        while self.is_passing_on_responses() {
+            if timeout_at(end + STREAMING_ALLOWANCE, self.client_left.notified()).await.is_err() {
+                break;
+            }
+        }
+        self.cut_off_clients();
+    }
+
+    /// Returns whether responses are being passed on: behind the end of the process, all that is owed has begun.
+    fn is_passing_on_responses(&self) -> bool {
+        self.clients.borrow().iter().any(|client| client.busy.get())
+    }
+
+    fn cut_off_clients(&self) {
+        let clients = self.clients.borrow();
+        if !clients.is_empty() {
+            crate::proxy::log("ended with clients still connected");
+        }
+        for client in clients.iter() {
+            self.record_process_end(client);
+            client.mark_cut_off();
+        }
     }
 }
--- a/tests/slow_answers/main.rs
+++ b/tests/slow_answers/main.rs
@@ -239,23 +239,25 @@
     }
 }
 
-/// Guards against an answer that is cut off while it comes, because the process ends before its client's time does.
+/// Guards against an answer that is cut off while it comes, because the process ends on its own before the answer does.
 #[test]
 fn a_stop_passes_on_what_a_node_still_gives() {
     let plans = Plans::default();
     let proxy = start(&plans, |_| {});
     let mut clients = Vec::new();
-    for framing in [Framing::Chunked, Framing::Close] {
-        let number = plans.add(AnswerPlan::steady(framing, 100_000, 40_000));
-        let proxy = proxy.clone();
-        clients.push(std::thread::spawn(move || {
-            ask(&proxy, &request("GET", "bulk", number, ms(30_000), ""), b"")
-        }));
+    for framing in [Framing::Length, Framing::Chunked, Framing::Close] {
+        for length in [100_000, 280_000] {
+            let number = plans.add(AnswerPlan::steady(framing, length, 40_000));
+            let proxy = proxy.clone();
+            clients.push(std::thread::spawn(move || {
+                (length, ask(&proxy, &request("GET", "bulk", number, ms(30_000), ""), b""))
+            }));
+        }
     }
     std::thread::sleep(ms(200));
     proxy.signal("-TERM");
     for client in clients {
-        let received = client.join().expect("a client");
-        assert!(received.status == 200 && received.is_whole && received.bytes == 100_000, "{received:?}");
+        let (length, received) = client.join().expect("a client");
+        assert!(received.status == 200 && received.is_whole && received.bytes == length, "{received:?}");
     }
 }
