Send no repeat to a node that began anew since the attempt that may have run

Cause: whether an endpoint drops a repeat was judged by zone, cell and time; the start of its process, which the list tells, was not asked.

Change: allows_repeat_at wants the endpoint's start to lie before each attempt that may have run. What changes in between is caught by the epoch at the first byte, as before.

Measured: tests/repeats a_repeat_does_not_go_to_a_node_that_began_anew_since: on the code before the repeat was written to the new process; now the client is refused or failed and nothing is sent; with a node that runs since before, the repeat is sent and served as before.

--- a/src/decision/request.rs
+++ b/src/decision/request.rs
@@ -143,7 +143,9 @@
                     Group::Zone => attempt.zone == entry.zone,
                     Group::Cell => attempt.cell == entry.cell && attempt.zone == entry.zone,
                 };
-                now.saturating_add(DEDUP_MARGIN) < dedup_until && is_deduplicated
+                // Danger: an endpoint that has started since knows nothing of what its group got before.
+                let has_memory = entry.started_at <= attempt.sent_at;
+                now.saturating_add(DEDUP_MARGIN) < dedup_until && is_deduplicated && has_memory
             }),
         }
     }
