--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -42,6 +42,11 @@
     assert!([502, 503].contains(&client.answer().status()));
 }
 
+#[allow(clippy::disallowed_methods, reason = "the list tells when nodes started as Unix times")]
+fn unix_milliseconds() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("a time").as_millis() as u64
+}
+
 /// Guards against a change that runs twice because a new process at the address of one that has gone is taken for it: it knows nothing of
 /// what its group got before.
 #[test]
@@ -65,8 +70,7 @@
         let second = Server::new();
         let mut entry = member("c2", second.addr, "std", "ready");
         if is_restarted {
-            let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time");
-            entry["started_ms"] = json!(now.as_millis() as u64);
+            entry["started_ms"] = json!(unix_milliseconds());
         }
         let both = [member("c1", first.addr, "std", "ready"), entry];
         watch.reply("200 OK", "", &list(42, false, &both).to_string());
