--- a/src/proxy/observability/request_trace.rs
+++ b/src/proxy/observability/request_trace.rs
@@ -40,6 +40,10 @@
     Carried { request: &'a str, node: ServerId, connection: u64, uses: u32, rested: Option<Duration> },
     /// The head of a response came, or (status 0) none will. `waited`: the time from the last byte written to the first byte read.
     Response { request: &'a str, connection: u64, status: u16, waited: Option<Duration> },
+    /// A response is passed on before its end, of which `bytes` have come and were held for this long.
+    PassedOn { request: &'a str, connection: u64, bytes: usize, held: Duration },
+    /// A response that was passed on before its end has ended: whole, or else because its node or its client stopped or left.
+    PassedOnEnd { connection: u64, is_whole: bool },
     /// A node sent bytes on a connection without an outstanding request, this long after its last response.
     Unsolicited { node: ServerId, connection: u64, delay: Duration },
     /// A connection to a node was closed.
@@ -102,6 +106,14 @@
                 "response request={request} node_connection={connection} status={status} waited_us={}",
                 Micros(*waited)
             ),
+            Event::PassedOn { request, connection, bytes, held } => write!(
+                f,
+                "passed_on request={request} node_connection={connection} bytes={bytes} held_us={}",
+                Micros(Some(*held))
+            ),
+            Event::PassedOnEnd { connection, is_whole } => {
+                write!(f, "passed_on_end node_connection={connection} whole={is_whole}")
+            }
             Event::Unsolicited { node, connection, delay } => write!(
                 f,
                 "unsolicited node={node:016x} node_connection={connection} delay_us={}",
--- a/src/proxy/upstream/mod.rs
+++ b/src/proxy/upstream/mod.rs
@@ -518,6 +518,14 @@
             // What is buffered of the body is bounded by its own bytes, however many its framing takes.
             connection.socket.lift_read_limit();
             let ended = read(response, &handle.response_hold, deadlines.answer_due).await;
+            if let Some((_, beginning, ..)) = &ended.long {
+                request_trace::event(|| Event::PassedOn {
+                    request: upstream_request.id(),
+                    connection: connection.number,
+                    bytes: beginning.len(),
+                    held: handle.response_hold.held_for(),
+                });
+            }
             let exchanged = Exchanged { server, kind, epoch, reused, is_closing };
             return self.finish_response(&exchanged, connection, ended);
         }
@@ -545,7 +553,8 @@
         let reusable = reusable && connection.uses < max_uses;
         if let Some((head, buffered, rest, length)) = long {
             let to = reusable.then(|| (self.clone(), server, epoch));
-            let answer = StreamedResponse::new(buffered, rest, length, ReturnToPool { connection, to });
+            let returning = ReturnToPool { connection: Some(connection), to };
+            let answer = StreamedResponse::new(buffered, rest, length, returning);
             ended.response = Some(Response::from_parts(head, Body::answer(answer)));
         } else if reusable && connection.socket.is_written() {
             self.return_idle(server, epoch, connection);
@@ -695,20 +704,30 @@
 
 /// A connection with a streamed response in progress. It returns to the pool when the response is complete, and is closed on drop.
 struct ReturnToPool {
-    connection: Connection,
+    /// `None`: the response is complete.
+    connection: Option<Connection>,
     /// The pool, node and node epoch to return to; `None`: not reusable.
     to: Option<(Rc<Upstreams>, ServerId, u64)>,
 }
 
 impl ReturnConnection for ReturnToPool {
-    fn return_connection(self: Box<Self>) {
-        let ReturnToPool { connection, to } = *self;
-        if let Some((upstreams, server, epoch)) = to.filter(|_| connection.socket.is_written()) {
+    fn return_connection(mut self: Box<Self>) {
+        let Some(connection) = self.connection.take() else { return };
+        request_trace::event(|| Event::PassedOnEnd { connection: connection.number, is_whole: true });
+        if let Some((upstreams, server, epoch)) = self.to.take().filter(|_| connection.socket.is_written()) {
             upstreams.return_idle(server, epoch, connection);
         }
     }
 }
 
+impl Drop for ReturnToPool {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.connection {
+            request_trace::event(|| Event::PassedOnEnd { connection: connection.number, is_whole: false });
+        }
+    }
+}
+
 /// Builds the request of one attempt, with its time left and host. Its body reports to `progress`.
 fn build_request(
     upstream_request: &UpstreamRequest,
