Part the outcome of an attempt without a response from its exchange

exchange had grown to a hundred lines; what becomes of a request that got no response has a function of its own, and where an attempt is sent a type.

--- a/src/proxy/upstream/mod.rs
+++ b/src/proxy/upstream/mod.rs
@@ -88,15 +88,13 @@
     epoch: u64,
 }
 
-/// The connection on which a response came.
-struct Exchanged {
+/// Where an attempt is sent.
+struct ExchangeTarget {
     server: ServerId,
     kind: u32,
     epoch: u64,
-    /// It had carried another request before.
+    /// Its connection has carried another request before.
     reused: bool,
-    /// The node closes it behind the response.
-    is_closing: bool,
 }
 
 /// A listed endpoint and its idle connections.
@@ -441,6 +439,7 @@
                     Err(status) => return status.into(),
                 },
             };
+            let target = ExchangeTarget { server, kind, epoch, reused };
             if connection.sender.ready().await.is_err() {
                 if reused {
                     continue;
@@ -482,28 +481,10 @@
                 waited: connection.socket.response_delay(),
             });
             let Ok(response) = sent else {
-                if let Some(denied) = connection.socket.denied() {
-                    if denied == SendDenied::UnreadInput {
-                        self.close_unclean(server, kind, connection, rested);
-                        if reused {
-                            continue;
-                        }
-                        return Status::ConnectFailed.into();
-                    }
-                    return self.denied_outcome(upstream_request, server, denied);
-                }
-                // Danger: once its last byte is written the request may have run, and must not be retried here.
-                if connection.socket.is_written() {
-                    return Status::Reset.into();
-                }
-                // The node has no part in it.
-                if upstream_request.upload().is_some_and(|upload| upload.is_broken()) {
-                    return Status::Moot.into();
+                match self.unanswered_outcome(&target, connection, rested, upstream_request) {
+                    Some(outcome) => return outcome,
+                    None => continue,
                 }
-                if reused {
-                    continue;
-                }
-                return Status::ConnectFailed.into();
             };
             // Danger: a response that came before the last byte of the request is another's. It would pass for proof of what became of
             // a request that has not run, and will not once its connection is closed.
@@ -512,13 +493,13 @@
                 connection.close(NodeCloseCause::Unsolicited);
                 return Status::ConnectFailed.into();
             }
+            handle.record_response();
             let is_closing = response.headers().get(CONNECTION).is_some_and(|v| v == "close");
             connection.keeps_alive.set(!is_closing && response.version() == Version::HTTP_11);
-            handle.record_response();
             // What is buffered of the body is bounded by its own bytes, however many its framing takes.
             connection.socket.lift_read_limit();
-            let ended = read(response, &handle.response_hold, deadlines.answer_due).await;
-            if let Some((_, beginning, ..)) = &ended.long {
+            let response = read(response, &handle.response_hold, deadlines.answer_due).await;
+            if let Some((_, beginning, ..)) = &response.long {
                 request_trace::event(|| Event::PassedOn {
                     request: upstream_request.id(),
                     connection: connection.number,
@@ -526,19 +507,45 @@
                     held: handle.response_hold.held_for(),
                 });
             }
-            let exchanged = Exchanged { server, kind, epoch, reused, is_closing };
-            return self.finish_response(&exchanged, connection, ended);
+            return self.finish_response(&target, is_closing, connection, response);
+        }
+    }
+
+    /// Returns the outcome of an attempt that got no response; `None`: its request was not written completely on a reused connection,
+    /// and the next one is tried.
+    fn unanswered_outcome(
+        &self,
+        target: &ExchangeTarget,
+        connection: Connection,
+        rested: Option<Duration>,
+        upstream_request: &UpstreamRequest,
+    ) -> Option<AttemptOutcome> {
+        let unwritten = (!target.reused).then(|| Status::ConnectFailed.into());
+        match connection.socket.denied() {
+            Some(SendDenied::UnreadInput) => {
+                self.close_unclean(target.server, target.kind, connection, rested);
+                unwritten
+            }
+            Some(denied) => Some(self.denied_outcome(upstream_request, target.server, denied)),
+            // Danger: once its last byte is written the request may have run, and must not be retried here.
+            None if connection.socket.is_written() => Some(Status::Reset.into()),
+            // The node has no part in it.
+            None if upstream_request.upload().is_some_and(|upload| upload.is_broken()) => {
+                Some(Status::Moot.into())
+            }
+            None => unwritten,
         }
     }
 
     /// Returns the outcome of a response that was read, and its connection to the pool if it can be reused.
     fn finish_response(
         self: &Rc<Self>,
-        exchanged: &Exchanged,
+        target: &ExchangeTarget,
+        is_closing: bool,
         connection: Connection,
         response: ResponseReader,
     ) -> AttemptOutcome {
-        let &Exchanged { server, kind, epoch, reused, is_closing } = exchanged;
+        let &ExchangeTarget { server, kind, epoch, reused } = target;
         let ResponseReader { mut ended, reusable, long } = response;
         if !reused && ended.status == Status::Full && is_closing {
             // Danger: a node whose connection table is full answers a new connection like this and closes it, while it serves its
