Give the two orders of a framing test an id each

a_body_goes_on_with_framing_of_our_own sent two unsafe requests to one proxy under the id 1. Since ids that may have run are not run again the second got 409. All assertions are as they were.

--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -548,12 +548,12 @@
 #[test]
 fn a_body_goes_on_with_framing_of_our_own() {
     let r = rig();
-    for (framing, body) in [
-        ("Transfer-Encoding: chunked\r\n", "2\r\n20\r\n2\r\n.0\r\n0\r\n\r\n"),
-        ("Content-Length: 4\r\nContent-Length: 4\r\n", "20.0"),
+    for (id, framing, body) in [
+        ("1", "Transfer-Encoding: chunked\r\n", "2\r\n20\r\n2\r\n.0\r\n0\r\n\r\n"),
+        ("2", "Content-Length: 4\r\nContent-Length: 4\r\n", "20.0"),
     ] {
         let mut client = r.proxy.client();
-        let head = "PUT /order/1 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: 1\r\n";
+        let head = format!("PUT /order/1 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: {id}\r\n");
         client.write(&format!("{head}{framing}\r\n{body}"));
         let mut node = r.origin.take();
         let asked = node.request();
