Hold an answer up to the close that has stopped, and pass it on when it goes on

Cause: the new limit of 1.5 s for answers up to the close ended the hold whatever the node did. Its reason is that what arrives must not be held back; nothing arrived.

Change: Hold says from when on bytes that come end the hold, and when it ends in any case: for chunks 0.5 s both, up to the close 1.5 s and the client's time. A node that stops for 3 s is given up as before, and another attempt may serve.

--- a/crates/core/stream-progress/src/hold.rs
+++ b/crates/core/stream-progress/src/hold.rs
@@ -4,9 +4,9 @@
 
 /// Maximum hold of a chunked response.
 const MAX_CHUNKED_HOLD: Nanos = SECOND / 2;
-/// Maximum hold of a response that ends with its connection. It is longer than that of a chunked one, since a proxy's own client
-/// may have no other way to see that such a response broke off; held back for 2 s, a response counts as lost.
-const MAX_CLOSE_DELIMITED_HOLD: Nanos = SECOND * 3 / 2;
+/// Hold of a response that ends with its connection, while it arrives. It is longer than that of a chunked one, since a reset shows that such
+/// a response broke off; held back for 2 s, a response counts as lost.
+const CLOSE_DELIMITED_HOLD: Nanos = SECOND * 3 / 2;
 
 /// How the end of a message body is delimited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,17 +19,29 @@
     Close,
 }
 
-/// Returns when the beginning of a response whose head came at `head_at` is passed on although its end has not come; `None`: not before its
-/// end, or before it exceeds the buffer.
-///
-/// A response of announced length is known to be short or long. Of any other it is not known: while it is held, another attempt may serve
-/// instead if it breaks off. Danger: an answer that is still arriving when its client's time ends must not be dropped, since the client is
-/// owed what a node gives of a long one; so the hold ends with `answer_due` at the latest, whatever has come by then.
-pub fn hold_until(framing: Framing, head_at: Nanos, answer_due: Nanos) -> Option<Nanos> {
-    let max_hold = match framing {
-        Framing::Length => return None,
-        Framing::Chunked => MAX_CHUNKED_HOLD,
-        Framing::Close => MAX_CLOSE_DELIMITED_HOLD,
-    };
-    Some(head_at.saturating_add(max_hold).min(answer_due))
+/// Until when the beginning of a response is held although its end has not come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hold {
+    /// Bytes that come from then on end the hold. A node that has stopped may have broken off, so that another attempt should serve.
+    pub arriving_until: Nanos,
+    /// The hold ends then, whatever has come.
+    pub until: Nanos,
+}
+
+impl Hold {
+    /// Returns the hold of a response whose head came at `head_at`; `None`: it is not passed on before its end, or before it exceeds the buffer.
+    ///
+    /// A response of announced length is known to be short or long. Of any other it is not known: while it is held, another attempt may serve
+    /// instead if it breaks off. Danger: an answer that is still arriving when its client's time ends must not be dropped, since the client is
+    /// owed what a node gives of a long one; so the hold ends with `answer_due` at the latest.
+    pub fn of(framing: Framing, head_at: Nanos, answer_due: Nanos) -> Option<Self> {
+        let at = |hold: Nanos| head_at.saturating_add(hold).min(answer_due);
+        match framing {
+            Framing::Length => None,
+            Framing::Chunked => {
+                Some(Hold { arriving_until: at(MAX_CHUNKED_HOLD), until: at(MAX_CHUNKED_HOLD) })
+            }
+            Framing::Close => Some(Hold { arriving_until: at(CLOSE_DELIMITED_HOLD), until: answer_due }),
+        }
+    }
 }
--- a/crates/core/stream-progress/src/lib.rs
+++ b/crates/core/stream-progress/src/lib.rs
@@ -1,7 +1,7 @@
 //! Tracks the transfer of message heads and bodies.
 //!
 //! [`ProgressTracker`] detects a peer that makes too little progress; [`Replay`] decides whether a request body can be sent again
-//! after a part of it was forwarded; [`hold_until`] decides when the beginning of a response is passed on.
+//! after a part of it was forwarded; [`Hold`] says when the beginning of a response is passed on.
 //! The crate does no I/O and reads no clock: time is passed in.
 #![forbid(unsafe_code)]
 
@@ -9,7 +9,7 @@
 mod pace;
 mod replay;
 
-pub use hold::{hold_until, Framing};
+pub use hold::{Framing, Hold};
 pub use pace::{ProgressLimits, ProgressTracker};
 pub use replay::Replay;
 
--- a/src/proxy/http/request_body.rs
+++ b/src/proxy/http/request_body.rs
@@ -8,7 +8,7 @@
 use rushquay_http_body::{detach, BodyBuffer};
 use rushquay_stream_progress::{Nanos, ProgressLimits, ProgressTracker, SECOND};
 use std::any::Any;
-use std::future::Future;
+use std::future::{pending, Future, Pending};
 use std::io;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
@@ -249,13 +249,28 @@
     Broken,
 }
 
-/// Reads the beginning of a body, until it exceeds [`MAX_BUFFERED_BODY`]; returns it and whether it is the complete body. Once `hold_end`
-/// has completed, returns what has arrived by then.
+/// When to stop reading the beginning of a body.
+pub struct HoldEnd<F> {
+    /// The next bytes that arrive from then on end it.
+    pub arriving_until: Nanos,
+    /// Completes when it ends, whatever has arrived.
+    pub at: F,
+}
+
+impl HoldEnd<Pending<()>> {
+    /// The body is read to its end unless it exceeds the buffer.
+    pub fn never() -> Self {
+        HoldEnd { arriving_until: Nanos::MAX, at: pending() }
+    }
+}
+
+/// Reads the beginning of a body, until it exceeds [`MAX_BUFFERED_BODY`] or the hold ends; returns it and whether it is the complete body.
 pub async fn beginning(
     body: &mut Incoming,
     limits: ProgressLimits,
-    hold_end: impl Future<Output = ()>,
+    hold_end: HoldEnd<impl Future<Output = ()>>,
 ) -> Result<(Bytes, bool), BodyReadError> {
+    let HoldEnd { arriving_until, at: hold_end } = hold_end;
     let mut hold_end = pin!(hold_end);
     let mut progress = ProgressTracker::new(steady_nanos());
     let mut buffer = BodyBuffer::new(max_buffered(body));
@@ -277,8 +292,12 @@
             Some(Ok(frame)) => frame,
         };
         if let Ok(data) = frame.into_data() {
-            progress.record(steady_nanos(), data.len());
+            let now = steady_nanos();
+            progress.record(now, data.len());
             buffer.push(data);
+            if now >= arriving_until && !body.is_end_stream() {
+                return Ok((buffer.into_bytes(), false));
+            }
         }
     }
 }
--- a/src/proxy/http/request_parsing.rs
+++ b/src/proxy/http/request_parsing.rs
@@ -6,7 +6,7 @@
 use crate::proxy::control::policy_client::PolicyClient;
 use crate::proxy::engine::{Engine, PendingRequest};
 use crate::proxy::http::headers::{CORRELATION_ID, TIME_LEFT};
-use crate::proxy::http::request_body::{beginning, BodyReadError, CLIENT_LIMITS};
+use crate::proxy::http::request_body::{beginning, BodyReadError, HoldEnd, CLIENT_LIMITS};
 use crate::proxy::http::responses::strip;
 use crate::proxy::http::routing::Forward;
 use crate::proxy::http::upload::Upload;
@@ -108,7 +108,7 @@
     // Danger: a client that stalls in the middle of its body would keep its connection forever, since that counts as busy.
     let read = tokio::select! {
         biased;
-        read = beginning(&mut body, CLIENT_LIMITS, std::future::pending()) => read,
+        read = beginning(&mut body, CLIENT_LIMITS, HoldEnd::never()) => read,
         () = context.shutdown_deadline.body_due(context.began, Duration::from_nanos(time_limit)) => {
             return Err(ParseError::ShuttingDown);
         }
--- a/src/proxy/http/response_reader.rs
+++ b/src/proxy/http/response_reader.rs
@@ -1,7 +1,7 @@
 //! Reads a node's response: completely if it is short, otherwise the beginning that is held.
 
 use crate::api::Status;
-use crate::proxy::http::request_body::{beginning, NODE_LIMITS};
+use crate::proxy::http::request_body::{beginning, HoldEnd, NODE_LIMITS};
 use crate::proxy::upstream::attempt::AttemptOutcome;
 use crate::proxy::upstream::response_hold::ResponseHold;
 use crate::proxy::{Body, MAX_BUFFERED_BODY};
@@ -59,12 +59,22 @@
         _ => {
             // Only successful responses are streamed.
             let streamed_as = if head.status == StatusCode::OK { framing } else { Framing::Length };
-            match beginning(&mut body, NODE_LIMITS, hold.ended(streamed_as, answer_due)).await {
+            let read = match hold.begin(streamed_as, answer_due) {
+                None => beginning(&mut body, NODE_LIMITS, HoldEnd::never()).await,
+                Some(times) => {
+                    let hold_end = HoldEnd { arriving_until: times.arriving_until, at: hold.ended(times) };
+                    beginning(&mut body, NODE_LIMITS, hold_end).await
+                }
+            };
+            match read {
                 Ok(read) => read,
                 Err(_) => return ResponseReader::invalid(),
             }
         }
     };
+    if !whole {
+        hold.record_pass_on();
+    }
     let unprocessed = head.headers.get(&UNPROCESSED).is_some_and(|v| v == "1");
     let status = match head.status {
         StatusCode::OK => Status::Ok,
--- a/src/proxy/upstream/response_hold.rs
+++ b/src/proxy/upstream/response_hold.rs
@@ -1,7 +1,7 @@
 //! The beginning of a response while it is held: the attempt that reads it and the engine share it.
 
 use crate::proxy::http::request_body::steady_nanos;
-use rushquay_stream_progress::{hold_until, Framing, Nanos};
+use rushquay_stream_progress::{Framing, Hold, Nanos};
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -18,18 +18,26 @@
 }
 
 impl ResponseHold {
-    /// Returns once the beginning of a response whose head has just come must be passed on; never returns if it has to be complete first.
-    pub async fn ended(&self, framing: Framing, answer_due: Nanos) {
+    /// Begins to hold a response whose head has just come; `None`: it has to be complete before it is passed on.
+    pub fn begin(&self, framing: Framing, answer_due: Nanos) -> Option<Hold> {
         let head_at = steady_nanos();
-        let Some(until) = hold_until(framing, head_at, answer_due) else {
-            return std::future::pending().await;
-        };
+        let hold = Hold::of(framing, head_at, answer_due)?;
         self.since.set(Some(head_at));
+        Some(hold)
+    }
+
+    /// Returns when what has come must be passed on.
+    pub async fn ended(&self, hold: Hold) {
         tokio::select! {
-            () = sleep(Duration::from_nanos(until.saturating_sub(head_at))) => {}
+            () = sleep(Duration::from_nanos(hold.until.saturating_sub(steady_nanos()))) => {}
             () = self.release.notified() => {}
         }
-        self.held_for.set(Duration::from_nanos(steady_nanos() - head_at));
+    }
+
+    /// Records that the response is passed on before its end.
+    pub fn record_pass_on(&self) {
+        let since = self.since.get().unwrap_or_else(steady_nanos);
+        self.held_for.set(Duration::from_nanos(steady_nanos() - since));
     }
 
     /// Returns whether a response is held that is going to be passed on before its client's time ends.
