--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -104,3 +104,10 @@
     let _alone = ONE_AT_A_TIME.lock().await;
     soak(5021, 8, Ending::Killed).await;
 }
+
+/// Guards against two processes that serve beside each other without a hand-over, because the new one came while the old one was starting.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_upgrade_right_behind_a_start_hands_over() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    soak(6525, 8, Ending::Killed).await;
+}
