--- a/src/decision/attempts.rs
+++ b/src/decision/attempts.rs
@@ -134,7 +134,6 @@
         }
         let entry = &endpoint.entry;
         let (server, zone, cell) = (entry.server, entry.zone, entry.cell);
-        let (hedge_after, response) = (None, None);
         Attempt {
             server,
             zone,
@@ -142,8 +141,8 @@
             sent_at: now,
             is_pending: true,
             may_have_run: false,
-            hedge_after,
-            response,
+            hedge_after: None,
+            response: None,
         }
     }
 
--- a/src/proxy/http/request_handler.rs
+++ b/src/proxy/http/request_handler.rs
@@ -241,8 +241,8 @@
         pending.upload = pending.upload.min(left);
     }
 
-    /// Returns when a request must have its answer because this process ends. An upload is refused while its last byte has not arrived:
-    /// later it may have run, and there would be no time to say so.
+    /// Returns when a request must have its answer because this process ends; `None`: not a refusal. An upload is refused while its last byte
+    /// has not arrived: later it may have run, and there would be no time to say so.
     async fn refusal_before_end(
         &self,
         upload: Option<&Upload>,
--- a/src/proxy/http/response_reader.rs
+++ b/src/proxy/http/response_reader.rs
@@ -35,7 +35,8 @@
     pub ended: AttemptOutcome,
     /// Whether the connection can be reused for another request afterwards.
     pub reusable: bool,
-    /// For a long response, and one of unknown length that is passed on before its end: its head, the buffered beginning, the rest that is still arriving, and the length of the whole.
+    /// For a long response, and one of unknown length that is passed on before its end: its head, the buffered beginning, the rest that is
+    /// still arriving, and the length of the whole.
     pub long: Option<(Parts, Bytes, Incoming, Option<u64>)>,
 }
 
--- a/tests/slow_answers/node.rs
+++ b/tests/slow_answers/node.rs
@@ -1,6 +1,7 @@
 //! A node that answers each request as its path says: with a body of some length and framing, at some pace.
 
 use crate::rig::{Peer, RequestHead, Server};
+pub use rushquay_stream_progress::Framing;
 use socket2::SockRef;
 use std::collections::HashMap;
 use std::io::Write;
@@ -8,14 +9,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// How the end of a body is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Framing {
-    Length,
-    Chunked,
-    Close,
-}
-
 /// How a body ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
