--- a/review/standin-2/src/lib.rs
+++ b/review/standin-2/src/lib.rs
@@ -240,6 +240,11 @@
         lock(&self.got).len()
     }
 
+    /// The requests that have come whole, with the moment of each.
+    pub fn requests(&self) -> Vec<(Instant, Message)> {
+        lock(&self.got).clone()
+    }
+
     /// How many requests came whole after this moment.
     pub fn count_since(&self, since: Instant) -> usize {
         lock(&self.got).iter().filter(|(at, _)| *at >= since).count()
@@ -523,3 +528,81 @@
          X-Time-Left: {left:.3}\r\n{more}\r\n"
     )
 }
+
+/// A link between two processes that can be cut: then open connections stay open and silent, and new ones never get a word through.
+pub struct Link {
+    pub addr: SocketAddr,
+    is_cut: Arc<std::sync::atomic::AtomicBool>,
+}
+
+impl Link {
+    pub fn start(to: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let addr = listener.local_addr()?;
+        let is_cut: Arc<std::sync::atomic::AtomicBool> = Arc::default();
+        let cut = is_cut.clone();
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                let cut = cut.clone();
+                thread::spawn(move || carry(near, to, &cut));
+            }
+        });
+        Ok(Link { addr, is_cut })
+    }
+
+    /// Cuts the link.
+    pub fn cut(&self) {
+        self.is_cut.store(true, Ordering::SeqCst);
+    }
+}
+
+fn carry(near: TcpStream, to: SocketAddr, cut: &Arc<std::sync::atomic::AtomicBool>) {
+    if cut.load(Ordering::SeqCst) {
+        return hold(near, cut);
+    }
+    let Ok(far) = TcpStream::connect(to) else { return };
+    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    let pairs = [(near.try_clone(), far.try_clone()), (far.try_clone(), near.try_clone())];
+    let lanes: Vec<_> = pairs
+        .into_iter()
+        .filter_map(|(from, to)| Some((from.ok()?, to.ok()?)))
+        .map(|(from, to)| {
+            let cut = cut.clone();
+            thread::spawn(move || pass(from, to, &cut))
+        })
+        .collect();
+    lanes.into_iter().for_each(|lane| _ = lane.join());
+    drop(far);
+    hold(near, cut);
+}
+
+/// Keeps a connection open and silent for as long as the link is cut.
+fn hold(stream: TcpStream, cut: &std::sync::atomic::AtomicBool) {
+    while cut.load(Ordering::SeqCst) {
+        thread::sleep(Duration::from_millis(200));
+    }
+    drop(stream);
+}
+
+/// Passes bytes on, until the end or the cut.
+fn pass(mut from: TcpStream, mut to: TcpStream, cut: &std::sync::atomic::AtomicBool) {
+    use std::io::Read as _;
+    let _ = from.set_read_timeout(Some(Duration::from_millis(50)));
+    let mut buffer = [0; 16 << 10];
+    while !cut.load(Ordering::SeqCst) {
+        match from.read(&mut buffer) {
+            Ok(0) => {
+                let _ = to.shutdown(std::net::Shutdown::Write);
+                return;
+            }
+            Ok(n) if !cut.load(Ordering::SeqCst) => {
+                if to.write_all(&buffer[..n]).is_err() {
+                    return;
+                }
+            }
+            Ok(_) => return,
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
+            Err(_) => return,
+        }
+    }
+}
