--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# An override, the control service lost, a new version. TROUBLE=0: the control service stays.
-CASE_DRIVER=forgotten-override
+# Slow readers of long answers, and usual clients. TROUBLE=0: the answers are short.
+CASE_DRIVER=slow-readers
 . "$(dirname "$0")/../case-2.sh"
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# A restart of the control service with a shorter leave_s while one proxy is cut off. TROUBLE=0: leave_s stays.
-CASE_DRIVER=shorter-leave
+# An override, the control service lost, a new version. TROUBLE=0: the control service stays.
+CASE_DRIVER=forgotten-override
 . "$(dirname "$0")/../case-2.sh"
--- a/review/case-2.sh
+++ b/review/case-2.sh
@@ -4,7 +4,8 @@
 CASE_ROOT=$(cd "$CASE_FOLDER/../.." && pwd)
 CASE_RECORD=$CASE_FOLDER/record.txt
 CASE_TMP=$(mktemp -d) || exit 2
-export CASE_ROOT CASE_RECORD CASE_TMP
+CASE_RUN=$(sed -n 's/^run = "\([^"]*\)".*/\1/p' "$CASE_ROOT/deploy/balancer.toml")
+export CASE_ROOT CASE_RECORD CASE_TMP CASE_RUN
 
 end_all() {
     if [ -f "$CASE_TMP/pids" ]; then
@@ -17,8 +18,9 @@
     fi
     rm -rf "$CASE_TMP"
 }
+driver=
 trap end_all EXIT
-trap 'exit 2' INT TERM
+trap '[ -z "$driver" ] || kill "$driver" 2>/dev/null; exit 2' INT TERM
 
 program=$CASE_ROOT/review/standin-2/target/release/$CASE_DRIVER
 for file in "$program" "$CASE_ROOT/target/release/rushquay"; do
@@ -27,7 +29,9 @@
         exit 2
     fi
 done
-timeout 115 "$program"
+timeout -k 2 115 "$program" &
+driver=$!
+wait "$driver"
 verdict=$?
 [ "$verdict" -le 2 ] || verdict=2
 exit "$verdict"
--- a/review/standin-2/src/bin/forgotten-override.rs
+++ b/review/standin-2/src/bin/forgotten-override.rs
@@ -32,7 +32,7 @@
     let discovery = Discovery::start(entries)?;
     let (listen, xds, commands) = (free_addr()?, free_addr()?, free_addr()?);
     let known = discovery.known();
-    let config = ProxyConfig { listen, discovery: discovery.addr, known: &known, sockets: 256 };
+    let config = ProxyConfig { listen, discovery: discovery.addr, known: &known, sockets: 256, memory_mb: 192 };
     let config = place.write("config.json", &config.json())?;
     let subscription = place.write(
         "subscription.toml",
@@ -40,11 +40,11 @@
     )?;
     let state = place.folder.join("control.redb");
     let control = format!(
-        "exec target/release/rushquay control --listen {xds} --admin {commands} --discovery {} --state {}",
+        "control --listen {xds} --admin {commands} --discovery {} --state {}",
         discovery.addr,
         state.display()
     );
-    let mut control = Process::start(place, record, "control", &control, &[])?;
+    let mut control = Process::start(place, record, "control", &place.run(&control), &[])?;
     wait_until("the control service has a list", || {
         let asked = exchange(commands, b"GET /healthz HTTP/1.1\r\nHost: control\r\n\r\n", Duration::from_secs(1));
         asked.is_ok_and(|answer| answer.is_some_and(|m| m.status() == 200))
@@ -57,7 +57,7 @@
             ("PROXY_ADMIN_ADDR", operators.to_string()),
             ("TMPDIR", folder.display().to_string()),
         ];
-        Process::start(place, record, name, "exec target/release/rushquay", &variables)
+        Process::start(place, record, name, &place.run(""), &variables)
     };
     let mut old = start("old", free_addr()?)?;
     wait_for_health(listen, Duration::from_secs(30))?;
--- a/review/standin-2/src/bin/host-end.rs
+++ b/review/standin-2/src/bin/host-end.rs
@@ -25,7 +25,7 @@
     let discovery = Discovery::start(entries)?;
     let listen = free_addr()?;
     let known = discovery.known();
-    let config = ProxyConfig { listen, discovery: discovery.addr, known: &known, sockets: 256 };
+    let config = ProxyConfig { listen, discovery: discovery.addr, known: &known, sockets: 256, memory_mb: 192 };
     let config = place.write("config.json", &config.json())?;
     let (programs, folder) = (place.make("programs")?, place.folder.join("host"));
     let added = Command::new(place.program())
@@ -46,8 +46,8 @@
             config.display()
         ),
     )?;
-    let command = format!("exec target/release/rushquay host run --config {}", settings.display());
-    let mut host = Process::start(place, record, "host", &command, &[])?;
+    let command = format!("host run --config {}", settings.display());
+    let mut host = Process::start(place, record, "host", &place.run(&command), &[])?;
     wait_for_health(listen, Duration::from_secs(30))?;
     let proxy = child_of(host.child.id())?;
     place.note_process(proxy)?;
--- a/review/standin-2/src/bin/named-id.rs
+++ b/review/standin-2/src/bin/named-id.rs
@@ -31,11 +31,11 @@
     let discovery = Discovery::start(entries)?;
     let listen = free_addr()?;
     let known = discovery.known();
-    let config = ProxyConfig { listen, discovery: discovery.addr, known: &known, sockets: 256 };
+    let config = ProxyConfig { listen, discovery: discovery.addr, known: &known, sockets: 256, memory_mb: 192 };
     let config = place.write("config.json", &config.json())?;
     let variables =
         [("PROXY_CONFIG", config.display().to_string()), ("TMPDIR", place.make("tmp")?.display().to_string())];
-    let mut proxy = Process::start(place, record, "proxy", "exec target/release/rushquay", &variables)?;
+    let mut proxy = Process::start(place, record, "proxy", &place.run(""), &variables)?;
     wait_for_health(listen, Duration::from_secs(30))?;
 
     let before = usual(record, listen, "before", 10);
--- a/review/standin-2/src/bin/shorter-leave.rs
+++ b/review/standin-2/src/bin/shorter-leave.rs
@@ -37,13 +37,13 @@
         let text = format!("[policy]\nleave_s = {leave:?}\nlimit_s = 100.0\nfloor_s = 600.0\nlook_ms = 50\n");
         let settings = place.write(&format!("{name}.toml"), &text)?;
         let command = format!(
-            "exec target/release/rushquay control --listen {xds} --admin {commands} --discovery {} --state {} --config {}",
+            "control --listen {xds} --admin {commands} --discovery {} --state {} --config {}",
             discovery.addr,
             state.display(),
             settings.display()
         );
         record.note(&format!("{name} has leave_s = {leave:?}"));
-        let control = Process::start(place, record, name, &command, &[])?;
+        let control = Process::start(place, record, name, &place.run(&command), &[])?;
         wait_until("the control service has a list", || {
             let asked =
                 exchange(commands, b"GET /healthz HTTP/1.1\r\nHost: control\r\n\r\n", Duration::from_secs(1));
@@ -59,7 +59,7 @@
     let mut listens = Vec::new();
     for (n, link) in links.iter().enumerate() {
         let listen = free_addr()?;
-        let config = ProxyConfig { listen, discovery: discovery.addr, known: &known, sockets: 256 };
+        let config = ProxyConfig { listen, discovery: discovery.addr, known: &known, sockets: 256, memory_mb: 192 };
         let config = config.json().replace("\"name\":\"n0\"", &format!("\"name\":\"n{n}\""));
         let config = place.write(&format!("config-{n}.json"), &config)?;
         let subscription = format!(
@@ -74,7 +74,7 @@
             ("TMPDIR", place.make(&format!("tmp-{n}"))?.display().to_string()),
         ];
         let name = format!("proxy-{n}");
-        proxies.push(Process::start(place, record, &name, "exec target/release/rushquay", &variables)?);
+        proxies.push(Process::start(place, record, &name, &place.run(""), &variables)?);
         listens.push(listen);
     }
     for listen in &listens {
--- a/review/standin-2/src/lib.rs
+++ b/review/standin-2/src/lib.rs
@@ -66,6 +66,7 @@
     pub root: PathBuf,
     /// A temporary folder of the case's own.
     pub folder: PathBuf,
+    run: String,
     record: PathBuf,
     pids: PathBuf,
     /// Whether the disruption is played.
@@ -78,6 +79,7 @@
         let folder = PathBuf::from(variable("CASE_TMP")?);
         Ok(Place {
             root: variable("CASE_ROOT")?.into(),
+            run: variable("CASE_RUN")?,
             record: variable("CASE_RECORD")?.into(),
             pids: folder.join("pids"),
             folder,
@@ -99,6 +101,11 @@
         Ok(path)
     }
 
+    /// The deploy file's command for a proxy, with these arguments behind it.
+    pub fn run(&self, arguments: &str) -> String {
+        format!("{} {arguments}", self.run).trim_end().to_owned()
+    }
+
     /// Where the program of the deploy file stands.
     pub fn program(&self) -> PathBuf {
         self.root.join("target/release/rushquay")
@@ -222,6 +229,11 @@
 
 impl Node {
     pub fn start(name: &str, record: &Arc<Record>) -> io::Result<Self> {
+        Node::start_with(name, record, None)
+    }
+
+    /// A node whose answers to one class have this many bytes.
+    pub fn start_with(name: &str, record: &Arc<Record>, long: Option<(&'static str, usize)>) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let addr = listener.local_addr()?;
         let got: Arc<Mutex<Vec<(Instant, Message)>>> = Arc::default();
@@ -229,7 +241,7 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (name, got, record) = (name_here.clone(), got_here.clone(), record.clone());
-                thread::spawn(move || serve_node(&name, stream, &got, &record));
+                thread::spawn(move || serve_node(&name, stream, &got, &record, long));
             }
         });
         Ok(Node { name: name.to_owned(), addr, got })
@@ -251,14 +263,27 @@
     }
 }
 
-fn serve_node(name: &str, stream: TcpStream, got: &Mutex<Vec<(Instant, Message)>>, record: &Record) {
+fn serve_node(
+    name: &str,
+    stream: TcpStream,
+    got: &Mutex<Vec<(Instant, Message)>>,
+    record: &Record,
+    long: Option<(&'static str, usize)>,
+) {
     let _ = stream.set_nodelay(true);
     let Ok(mut to) = stream.try_clone() else { return };
     let mut from = BufReader::new(stream);
     while let Ok(Some(request)) = read_message(&mut from) {
         let id = request.header("x-correlation-id").map(str::to_owned);
         record.note(&format!("{name} got {} id={}", request.first, id.as_deref().unwrap_or("-")));
+        let class = request.first.split('/').nth(1).unwrap_or("").to_owned();
         lock(got).push((Instant::now(), request));
+        if let Some((_, bytes)) = long.filter(|(long, _)| *long == class && id.is_some()) {
+            if write_long(&mut to, bytes).is_err() {
+                return;
+            }
+            continue;
+        }
         let answer = match id {
             None => "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n".to_owned(),
             Some(id) => {
@@ -272,6 +297,20 @@
     }
 }
 
+/// Writes an answer of this length as fast as it is taken.
+fn write_long(to: &mut TcpStream, bytes: usize) -> io::Result<()> {
+    let head = format!("HTTP/1.1 200 OK\r\nX-Lookup: hit\r\nContent-Length: {bytes}\r\n\r\n");
+    to.write_all(head.as_bytes())?;
+    let piece = vec![b'x'; 64 << 10];
+    let mut left = bytes;
+    while left > 0 {
+        let n = left.min(piece.len());
+        to.write_all(&piece[..n])?;
+        left -= n;
+    }
+    Ok(())
+}
+
 /// An entry of discovery's list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
@@ -388,6 +427,7 @@
     pub discovery: SocketAddr,
     pub known: &'a str,
     pub sockets: u32,
+    pub memory_mb: u32,
 }
 
 impl ProxyConfig<'_> {
@@ -407,9 +447,9 @@
         ];
         format!(
             r#"{{"name":"n0","listen":"{}","discovery":"{}","seed":"8c1f30d27a5be964",
-"limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},"known":{},
+"limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"known":{},
 "settings":{{"categories":[{}],
-"customers":[{{"name":"health-bldgs","quota_rps":1000.0,"fraction":1.0}}],
+"customers":[{{"name":"health-bldgs","quota_rps":80.0,"fraction":0.4343434343434343}},{{"name":"hostels-dept","quota_rps":26.0,"fraction":0.1414141414141414}},{{"name":"courts-bldgs","quota_rps":26.0,"fraction":0.1414141414141414}},{{"name":"schools-dept","quota_rps":26.0,"fraction":0.1414141414141414}},{{"name":"rest-houses","quota_rps":26.0,"fraction":0.1414141414141414}}],
 "localities":["gandhinagar","vadodara","rajkot","surat"],"machine_types":["fast-1c","std-1c","slow-1c","origin"],
 "zone":0,"n_instances":2,"self_index":0,"discovery":"subscribe","over_share_worth":0.05,"worth_by":"request",
 "family_info":{{"mode":"aside","origin_kind":3}},
@@ -417,6 +457,7 @@
 "rules":{{"answer_slack_ns":8000000,"cold_from":0.12,"cold_ns":23000000000,"fall_multiple":3.0,"fall_ns":3000000000,"drain_grace_ns":500000000,"must_ask_in_ns":10000000000}}}}}}"#,
             self.listen,
             self.discovery,
+            self.memory_mb,
             self.sockets,
             self.known,
             classes.join(",")
