--- a/review/case-2.sh
+++ b/review/case-2.sh
@@ -3,7 +3,7 @@
 CASE_FOLDER=$(cd "$(dirname "$0")" && pwd)
 CASE_ROOT=$(cd "$CASE_FOLDER/../.." && pwd)
 CASE_RECORD=$CASE_FOLDER/record.txt
-CASE_TMP=$(mktemp -d) || exit 2
+CASE_TMP=$(mktemp -d "${TMPDIR:-/tmp}/rq.XXXXXX") || exit 2
 CASE_RUN=$(sed -n 's/^run = "\([^"]*\)".*/\1/p' "$CASE_ROOT/deploy/balancer.toml")
 export CASE_ROOT CASE_RECORD CASE_TMP CASE_RUN
 
--- a/review/standin-2/src/bin/forgotten-override.rs
+++ b/review/standin-2/src/bin/forgotten-override.rs
@@ -32,7 +32,8 @@
     let discovery = Discovery::start(entries)?;
     let (listen, xds, commands) = (free_addr()?, free_addr()?, free_addr()?);
     let known = discovery.known();
-    let config = ProxyConfig { listen, discovery: discovery.addr, known: &known, sockets: 256, memory_mb: 192 };
+    let config =
+        ProxyConfig { listen, discovery: discovery.addr, known: &known, sockets: 256, memory_mb: 192 };
     let config = place.write("config.json", &config.json())?;
     let subscription = place.write(
         "subscription.toml",
@@ -46,7 +47,8 @@
     );
     let mut control = Process::start(place, record, "control", &place.run(&control), &[])?;
     wait_until("the control service has a list", || {
-        let asked = exchange(commands, b"GET /healthz HTTP/1.1\r\nHost: control\r\n\r\n", Duration::from_secs(1));
+        let asked =
+            exchange(commands, b"GET /healthz HTTP/1.1\r\nHost: control\r\n\r\n", Duration::from_secs(1));
         asked.is_ok_and(|answer| answer.is_some_and(|m| m.status() == 200))
     })?;
     let folder = place.make("tmp")?;
@@ -83,7 +85,9 @@
     }
     thread::sleep(Duration::from_secs(3));
     let early = out.count_since(held);
-    record.note(&format!("{early} requests reached cache-01 while the old version served, also without the control service"));
+    record.note(&format!(
+        "{early} requests reached cache-01 while the old version served, also without the control service"
+    ));
     if early > 0 {
         return Err(CannotRun("the override did not take hold before the new version came".into()));
     }
@@ -154,16 +158,19 @@
 
 impl Load {
     fn start(record: &Arc<Record>, listen: SocketAddr) -> Self {
-        let (ends, sent, unserved) = (Arc::<AtomicBool>::default(), Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+        let (ends, sent, unserved) =
+            (Arc::<AtomicBool>::default(), Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
         let clients = (0..CLIENTS)
             .map(|client| {
-                let (record, ends, sent, unserved) = (record.clone(), ends.clone(), sent.clone(), unserved.clone());
+                let (record, ends, sent, unserved) =
+                    (record.clone(), ends.clone(), sent.clone(), unserved.clone());
                 thread::spawn(move || {
                     let mut n = 0;
                     while !ends.load(Ordering::Relaxed) {
                         n += 1;
                         let id = new_id();
-                        let request = get("schedule-read", &format!("boiler-{client}-{}", n % 150), &id, TIME_LEFT, "");
+                        let request =
+                            get("schedule-read", &format!("boiler-{client}-{}", n % 150), &id, TIME_LEFT, "");
                         let got = exchange(listen, request.as_bytes(), Duration::from_secs(2));
                         let status = got.ok().flatten().map_or(0, |answer| answer.status());
                         record.note(&format!("client id={id}: {status}"));
--- a/review/standin-2/src/bin/host-end.rs
+++ b/review/standin-2/src/bin/host-end.rs
@@ -25,7 +25,8 @@
     let discovery = Discovery::start(entries)?;
     let listen = free_addr()?;
     let known = discovery.known();
-    let config = ProxyConfig { listen, discovery: discovery.addr, known: &known, sockets: 256, memory_mb: 192 };
+    let config =
+        ProxyConfig { listen, discovery: discovery.addr, known: &known, sockets: 256, memory_mb: 192 };
     let config = place.write("config.json", &config.json())?;
     let (programs, folder) = (place.make("programs")?, place.folder.join("host"));
     let added = Command::new(place.program())
@@ -52,7 +53,11 @@
     let proxy = child_of(host.child.id())?;
     place.note_process(proxy)?;
     record.note(&format!("the proxy is process {proxy}"));
-    let asked = exchange(listen, get("schedule-read", "boiler-7", &new_id(), 1.0, "").as_bytes(), Duration::from_secs(2))?;
+    let asked = exchange(
+        listen,
+        get("schedule-read", "boiler-7", &new_id(), 1.0, "").as_bytes(),
+        Duration::from_secs(2),
+    )?;
     if asked.is_none_or(|answer| answer.status() != 200) {
         return Err(CannotRun("a read was not served before anything happened".into()));
     }
--- a/review/standin-2/src/bin/named-id.rs
+++ b/review/standin-2/src/bin/named-id.rs
@@ -23,24 +23,31 @@
 }
 
 fn case(record: &Arc<Record>, place: &Place) -> Result<Verdict, CannotRun> {
-    let nodes: Vec<Node> =
-        ["cache-01", "cache-02", "cache-03"].iter().map(|n| Node::start(n, record)).collect::<Result<_, _>>()?;
+    let nodes: Vec<Node> = ["cache-01", "cache-02", "cache-03"]
+        .iter()
+        .map(|n| Node::start(n, record))
+        .collect::<Result<_, _>>()?;
     let origin = Node::start("origin-1", record)?;
     let mut entries: Vec<Entry> = nodes.iter().map(|n| Entry::of(n, "gandhinagar", "std-1c")).collect();
     entries.push(Entry::of(&origin, "gandhinagar", "origin"));
     let discovery = Discovery::start(entries)?;
     let listen = free_addr()?;
     let known = discovery.known();
-    let config = ProxyConfig { listen, discovery: discovery.addr, known: &known, sockets: 256, memory_mb: 192 };
+    let config =
+        ProxyConfig { listen, discovery: discovery.addr, known: &known, sockets: 256, memory_mb: 192 };
     let config = place.write("config.json", &config.json())?;
-    let variables =
-        [("PROXY_CONFIG", config.display().to_string()), ("TMPDIR", place.make("tmp")?.display().to_string())];
+    let variables = [
+        ("PROXY_CONFIG", config.display().to_string()),
+        ("TMPDIR", place.make("tmp")?.display().to_string()),
+    ];
     let mut proxy = Process::start(place, record, "proxy", &place.run(""), &variables)?;
     wait_for_health(listen, Duration::from_secs(30))?;
 
     let before = usual(record, listen, "before", 10);
     if before != 0 {
-        return Err(CannotRun(format!("{before} of 10 usual requests had no answer before anything happened")));
+        return Err(CannotRun(format!(
+            "{before} of 10 usual requests had no answer before anything happened"
+        )));
     }
     let mut unanswered = 0;
     for wave in 0..BAD_CLIENTS / AT_ONCE {
@@ -53,14 +60,17 @@
             .collect();
         unanswered += clients.into_iter().map(|c| usize::from(!c.join().unwrap_or(false))).sum::<usize>();
     }
-    record.note(&format!("{unanswered} of {BAD_CLIENTS} clients got neither an answer nor a close; all have closed"));
+    record.note(&format!(
+        "{unanswered} of {BAD_CLIENTS} clients got neither an answer nor a close; all have closed"
+    ));
     // No connection is open now; the proxy has had time to see that.
     thread::sleep(Duration::from_secs(3));
     let lost = usual(record, listen, "after", REQUESTS);
     if let Some(status) = proxy.child.try_wait()? {
         return Ok(Verdict::Broken(format!("the proxy has ended: {status}")));
     }
-    let told = format!("{lost} of {REQUESTS} usual requests on new connections had no answer within {LOST_AFTER} s");
+    let told =
+        format!("{lost} of {REQUESTS} usual requests on new connections had no answer within {LOST_AFTER} s");
     Ok(if lost > 0 { Verdict::Broken(told) } else { Verdict::Held(told) })
 }
 
@@ -68,7 +78,8 @@
 fn bad_client(record: &Record, listen: SocketAddr, number: usize, trouble: bool) -> bool {
     let id = new_id();
     let more = if trouble { "Connection: X-Correlation-Id\r\n" } else { "" };
-    let got = exchange(listen, get("schedule-read", "boiler-7", &id, TIME_LEFT, more).as_bytes(), OWED_WITHIN);
+    let got =
+        exchange(listen, get("schedule-read", "boiler-7", &id, TIME_LEFT, more).as_bytes(), OWED_WITHIN);
     let (is_answered, text) = match got {
         Ok(Some(answer)) => (true, answer.first),
         Ok(None) => (true, "a close".to_owned()),
--- a/review/standin-2/src/bin/shorter-leave.rs
+++ b/review/standin-2/src/bin/shorter-leave.rs
@@ -25,7 +25,8 @@
 }
 
 fn case(record: &Arc<Record>, place: &Place) -> Result<Verdict, CannotRun> {
-    let nodes: Vec<Node> = ZONES.iter().map(|z| Node::start(&format!("cache-{z}"), record)).collect::<Result<_, _>>()?;
+    let nodes: Vec<Node> =
+        ZONES.iter().map(|z| Node::start(&format!("cache-{z}"), record)).collect::<Result<_, _>>()?;
     let origin = Node::start("origin-1", record)?;
     let mut entries: Vec<Entry> = nodes.iter().zip(ZONES).map(|(n, z)| Entry::of(n, z, "std-1c")).collect();
     entries.push(Entry::of(&origin, "gandhinagar", "origin"));
@@ -59,7 +60,8 @@
     let mut listens = Vec::new();
     for (n, link) in links.iter().enumerate() {
         let listen = free_addr()?;
-        let config = ProxyConfig { listen, discovery: discovery.addr, known: &known, sockets: 256, memory_mb: 192 };
+        let config =
+            ProxyConfig { listen, discovery: discovery.addr, known: &known, sockets: 256, memory_mb: 192 };
         let config = config.json().replace("\"name\":\"n0\"", &format!("\"name\":\"n{n}\""));
         let config = place.write(&format!("config-{n}.json"), &config)?;
         let subscription = format!(
@@ -118,9 +120,11 @@
     let by = |zone: usize, proxy: usize| -> Vec<Instant> {
         let prefix = format!("p{proxy}-");
         let all = nodes[zone].requests().into_iter();
-        all.filter(|(at, m)| *at >= begin && m.header("x-correlation-id").is_some_and(|id| id.starts_with(&prefix)))
-            .map(|(at, _)| at)
-            .collect()
+        all.filter(|(at, m)| {
+            *at >= begin && m.header("x-correlation-id").is_some_and(|id| id.starts_with(&prefix))
+        })
+        .map(|(at, _)| at)
+        .collect()
     };
     let Some(new_since) = by(1, 0).first().copied() else {
         return Err(CannotRun("proxy-0 never acted by the second policy".into()));
@@ -143,9 +147,11 @@
     let settings = |allowed: &[u32]| {
         format!("{{\"categories\": [{{\"name\": \"schedule-read\", \"allowed_in\": {allowed:?}}}]}}")
     };
-    let (file, floor) = (place.write("settings.json", &settings(allowed))?, place.write("floor.json", &settings(&[0]))?);
+    let (file, floor) =
+        (place.write("settings.json", &settings(allowed))?, place.write("floor.json", &settings(&[0]))?);
     let path = |path: &Path| path.display().to_string();
-    let arguments = ["policy", "propose", "--settings", &path(&file), "--floor", &path(&floor), "--author", "ravi"];
+    let arguments =
+        ["policy", "propose", "--settings", &path(&file), "--floor", &path(&floor), "--author", "ravi"];
     let began = Instant::now();
     let done = Command::new(place.program())
         .args(arguments)
@@ -177,7 +183,10 @@
         n += 1;
         let id = format!("p{proxy}-{}", new_id());
         let request = get("schedule-read", &format!("boiler-{}", n % 150), &id, 1.0, "");
-        let status = exchange(listen, request.as_bytes(), Duration::from_secs(2)).ok().flatten().map_or(0, |m| m.status());
+        let status = exchange(listen, request.as_bytes(), Duration::from_secs(2))
+            .ok()
+            .flatten()
+            .map_or(0, |m| m.status());
         record.note(&format!("client of proxy-{proxy} id={id}: {status}"));
         thread::sleep(PAUSE);
     }
--- a/review/standin-2/src/bin/slow-readers.rs
+++ b/review/standin-2/src/bin/slow-readers.rs
@@ -42,11 +42,18 @@
     let discovery = Discovery::start(entries)?;
     let listen = free_addr()?;
     let known = discovery.known();
-    let config =
-        ProxyConfig { listen, discovery: discovery.addr, known: &known, sockets: SOCKETS, memory_mb: MEMORY_MB };
+    let config = ProxyConfig {
+        listen,
+        discovery: discovery.addr,
+        known: &known,
+        sockets: SOCKETS,
+        memory_mb: MEMORY_MB,
+    };
     let config = place.write("config.json", &config.json())?;
-    let variables =
-        [("PROXY_CONFIG", config.display().to_string()), ("TMPDIR", place.make("tmp")?.display().to_string())];
+    let variables = [
+        ("PROXY_CONFIG", config.display().to_string()),
+        ("TMPDIR", place.make("tmp")?.display().to_string()),
+    ];
     let mut proxy = Process::start(place, record, "proxy", &place.run(""), &variables)?;
     wait_for_health(listen, Duration::from_secs(30))?;
     let before = ask(record, listen, "before");
@@ -63,7 +70,10 @@
         })
         .collect();
     thread::sleep(Duration::from_secs(1));
-    record.note(&format!("{} of {READERS} readers have the beginning of an answer", begun.load(Ordering::Relaxed)));
+    record.note(&format!(
+        "{} of {READERS} readers have the beginning of an answer",
+        begun.load(Ordering::Relaxed)
+    ));
     let usual: Vec<_> = (0..REQUESTS)
         .map(|_| {
             thread::sleep(EVERY);
@@ -108,17 +118,26 @@
         }
         Err(e) => (Told::Closed, format!("an end: {e}")),
     };
-    record.note(&format!("usual client ({when}) id={id}: {text} after {:.3} s", sent.elapsed().as_secs_f64()));
+    record
+        .note(&format!("usual client ({when}) id={id}: {text} after {:.3} s", sent.elapsed().as_secs_f64()));
     told
 }
 
 /// Asks for an answer and reads it at a steady pace. Returns whether it came whole.
-fn read_slowly(record: &Record, listen: SocketAddr, number: usize, bytes: usize, begun: &AtomicUsize) -> bool {
+fn read_slowly(
+    record: &Record,
+    listen: SocketAddr,
+    number: usize,
+    bytes: usize,
+    begun: &AtomicUsize,
+) -> bool {
     let id = new_id();
     let read = || -> std::io::Result<usize> {
         let mut stream = TcpStream::connect(listen)?;
         stream.set_read_timeout(Some(Duration::from_secs(20)))?;
-        stream.write_all(get("history-read", &format!("boiler-{number}"), &id, 2.0, "Connection: close\r\n").as_bytes())?;
+        stream.write_all(
+            get("history-read", &format!("boiler-{number}"), &id, 2.0, "Connection: close\r\n").as_bytes(),
+        )?;
         let (mut piece, mut total) = (vec![0; PIECE], 0);
         loop {
             let n = stream.read(&mut piece)?;
--- a/review/standin-2/src/lib.rs
+++ b/review/standin-2/src/lib.rs
@@ -233,7 +233,11 @@
     }
 
     /// A node whose answers to one class have this many bytes.
-    pub fn start_with(name: &str, record: &Arc<Record>, long: Option<(&'static str, usize)>) -> io::Result<Self> {
+    pub fn start_with(
+        name: &str,
+        record: &Arc<Record>,
+        long: Option<(&'static str, usize)>,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let addr = listener.local_addr()?;
         let got: Arc<Mutex<Vec<(Instant, Message)>>> = Arc::default();
@@ -403,7 +407,8 @@
         let body = match parameter("from") {
             None => list_json(now.version, true, &now.entries),
             Some(from) => {
-                let until = Instant::now() + Duration::from_millis(parameter("hold_ms").unwrap_or(0).min(60_000));
+                let until =
+                    Instant::now() + Duration::from_millis(parameter("hold_ms").unwrap_or(0).min(60_000));
                 while now.version <= from && Instant::now() < until {
                     let left = until.saturating_duration_since(Instant::now());
                     now = listed.1.wait_timeout(now, left).unwrap_or_else(PoisonError::into_inner).0;
@@ -538,7 +543,8 @@
 pub fn wait_for_health(addr: SocketAddr, most: Duration) -> Result<(), CannotRun> {
     let until = Instant::now() + most;
     while Instant::now() < until {
-        let asked = exchange(addr, b"GET /_health HTTP/1.1\r\nHost: backend.local\r\n\r\n", Duration::from_secs(1));
+        let asked =
+            exchange(addr, b"GET /_health HTTP/1.1\r\nHost: backend.local\r\n\r\n", Duration::from_secs(1));
         if asked.is_ok_and(|answer| answer.is_some_and(|m| m.status() == 200)) {
             return Ok(());
         }
