End all that a review script started, however the script or its driver ends

Cause: the child of a host was noted only once it was healthy, so it would have outlived a script that failed before; a script ended with KILL left its driver and the programs running for up to 115 s.

Change: processes are found by the case's folder, in the script and in the driver, and the driver ends when its script has gone. Nodes close connections that have stood idle for conn_idle_ns. No check is changed.

--- a/review/case-2.sh
+++ b/review/case-2.sh
@@ -5,17 +5,29 @@
 CASE_RECORD=$CASE_FOLDER/record.txt
 CASE_TMP=$(mktemp -d "${TMPDIR:-/tmp}/rq.XXXXXX") || exit 2
 CASE_RUN=$(sed -n 's/^run = "\([^"]*\)".*/\1/p' "$CASE_ROOT/deploy/balancer.toml")
-export CASE_ROOT CASE_RECORD CASE_TMP CASE_RUN
+CASE_SHELL=$$
+export CASE_ROOT CASE_RECORD CASE_TMP CASE_RUN CASE_SHELL
 
+# All that runs the program and names the case's folder in its command or environment, the child of a host that has ended too. A host may
+# start another one meanwhile, so they are looked for until none is found.
 end_all() {
-    if [ -f "$CASE_TMP/pids" ]; then
-        while read -r pid; do
-            # Only what still runs the program that the driver started.
-            case $(readlink "/proc/$pid/exe" 2>/dev/null) in
-                */rushquay | */programs/*) kill -KILL "$pid" 2>/dev/null ;;
+    passes=0
+    found=yes
+    while [ -n "$found" ] && [ "$passes" -lt 20 ]; do
+        found=
+        passes=$((passes + 1))
+        for process in /proc/[0-9]*; do
+            case $(readlink "$process/exe" 2>/dev/null) in
+                */rushquay | "$CASE_TMP"/* | */"$CASE_DRIVER") ;;
+                *) continue ;;
             esac
-        done < "$CASE_TMP/pids"
-    fi
+            if tr '\0' '\n' 2>/dev/null < "$process/environ" | grep -qF -- "$CASE_TMP" ||
+                tr '\0' '\n' 2>/dev/null < "$process/cmdline" | grep -qF -- "$CASE_TMP"; then
+                kill -KILL "${process#/proc/}" 2>/dev/null && found=yes
+            fi
+        done
+        [ -z "$found" ] || sleep 0.1
+    done
     rm -rf "$CASE_TMP"
 }
 driver=
--- a/review/standin-2/src/bin/host-end.rs
+++ b/review/standin-2/src/bin/host-end.rs
@@ -51,13 +51,11 @@
     let mut host = Process::start(place, record, "host", &place.run(&command), &[])?;
     wait_for_health(listen, Duration::from_secs(30))?;
     let proxy = child_of(host.child.id())?;
-    place.note_process(proxy)?;
     record.note(&format!("the proxy is process {proxy}"));
-    let asked = exchange(
-        listen,
-        get("schedule-read", "boiler-7", &new_id(), 1.0, "").as_bytes(),
-        Duration::from_secs(2),
-    )?;
+    let id = new_id();
+    let read = get("schedule-read", "boiler-7", &id, 1.0, "");
+    let asked = exchange(listen, read.as_bytes(), Duration::from_secs(2))?;
+    record.note(&format!("client id={id}: {}", asked.as_ref().map_or("a close", |answer| &answer.first)));
     if asked.is_none_or(|answer| answer.status() != 200) {
         return Err(CannotRun("a read was not served before anything happened".into()));
     }
--- a/review/standin-2/src/lib.rs
+++ b/review/standin-2/src/lib.rs
@@ -50,7 +50,10 @@
         }
     };
     record.note(&format!("trouble: {}", if place.trouble { "yes" } else { "no" }));
-    let (code, line) = match case(&record, &place) {
+    end_with_the_script(&place.folder);
+    let result = case(&record, &place);
+    end_processes_of(&place.folder);
+    let (code, line) = match result {
         Ok(Verdict::Held(why)) => (0, format!("the rule held: {why}")),
         Ok(Verdict::Broken(why)) => (1, format!("THE RULE WAS BROKEN: {why}")),
         Err(CannotRun(why)) => (2, format!("the case could not run: {why}")),
@@ -60,6 +63,51 @@
     ExitCode::from(code)
 }
 
+/// Ends all processes of the case but this one: those that name its folder in their command or environment, also the child of a host that
+/// has ended. A host may start another one meanwhile, so they are looked for until none is found.
+fn end_processes_of(folder: &Path) {
+    let name = folder.display().to_string();
+    let names_folder = |pid: u32, file: &str| {
+        let text = std::fs::read(format!("/proc/{pid}/{file}")).unwrap_or_default();
+        text.windows(name.len()).any(|part| part == name.as_bytes())
+    };
+    for _ in 0..20 {
+        let Ok(entries) = std::fs::read_dir("/proc") else { return };
+        let all = entries.flatten().filter_map(|e| e.file_name().to_str()?.parse::<u32>().ok());
+        let program = |pid: u32| std::fs::read_link(format!("/proc/{pid}/exe")).unwrap_or_default();
+        let is_program = |pid: u32| {
+            let path = program(pid);
+            path.ends_with("rushquay") || path.starts_with(folder)
+        };
+        let found: Vec<u32> = all
+            .filter(|pid| {
+                is_program(*pid) && (names_folder(*pid, "environ") || names_folder(*pid, "cmdline"))
+            })
+            .collect();
+        if found.is_empty() {
+            return;
+        }
+        found.iter().for_each(|pid| _ = send_signal(*pid, "KILL"));
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Ends this process and those of the case when the script has gone, however it ended.
+fn end_with_the_script(folder: &Path) {
+    let Some(script) = std::env::var("CASE_SHELL").ok().and_then(|pid| pid.parse::<u32>().ok()) else {
+        return;
+    };
+    let folder = folder.to_owned();
+    thread::spawn(move || {
+        while Path::new(&format!("/proc/{script}/cmdline")).exists() {
+            thread::sleep(Duration::from_millis(100));
+        }
+        end_processes_of(&folder);
+        let _ = std::fs::remove_dir_all(&folder);
+        std::process::exit(2);
+    });
+}
+
 /// Where a case runs.
 pub struct Place {
     /// The root of the repository.
@@ -68,7 +116,6 @@
     pub folder: PathBuf,
     run: String,
     record: PathBuf,
-    pids: PathBuf,
     /// Whether the disruption is played.
     pub trouble: bool,
 }
@@ -81,7 +128,6 @@
             root: variable("CASE_ROOT")?.into(),
             run: variable("CASE_RUN")?,
             record: variable("CASE_RECORD")?.into(),
-            pids: folder.join("pids"),
             folder,
             trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
         })
@@ -110,12 +156,6 @@
     pub fn program(&self) -> PathBuf {
         self.root.join("target/release/rushquay")
     }
-
-    /// Notes a process, so that the script ends it whatever becomes of this one.
-    pub fn note_process(&self, pid: u32) -> io::Result<()> {
-        let mut file = File::options().create(true).append(true).open(&self.pids)?;
-        writeln!(file, "{pid}")
-    }
 }
 
 /// What was sent, answered and run, with the seconds since the start.
@@ -220,6 +260,9 @@
     Ok(message)
 }
 
+/// A node closes a connection that has stood idle for so long: `conn_idle_ns` of the settings.
+const CONNECTION_IDLE: Duration = Duration::from_secs(15);
+
 /// A cache node or the origin: answers each request with a value of its own making, at once.
 pub struct Node {
     pub name: String,
@@ -274,7 +317,7 @@
     record: &Record,
     long: Option<(&'static str, usize)>,
 ) {
-    let _ = stream.set_nodelay(true);
+    let _ = (stream.set_nodelay(true), stream.set_read_timeout(Some(CONNECTION_IDLE)));
     let Ok(mut to) = stream.try_clone() else { return };
     let mut from = BufReader::new(stream);
     while let Ok(Some(request)) = read_message(&mut from) {
@@ -496,7 +539,6 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        place.note_process(child.id())?;
         record.note(&format!("started {name}, process {}: {command}", child.id()));
         Ok(Process { name: name.to_owned(), child })
     }
