Refuse in time whoever comes while all places are held by busy connections

Callers saw: with all places held (96 slow readers at 32 MB, or any other busy clients), a client that connected was told nothing until a place was free, seconds after its time; its request was lost without a line or a metric.

Cause: the accept loop held one connection in front of the listener until a permit was free, and nobody to evict is found among busy connections; what was queued behind it was not read at all.

Change: once connections have had to wait for 250 ms without a break (1 s while idle ones still give way), one that finds no slot is admitted on a slot for refusals, read, answered 503 with Retry-After and closed. These slots come out of the same memory and descriptors. proxy_turned_away{reason="no_slot"}. Input of such connections counts from the beginning of the congestion, so that no node is told more time than is left.

--- a/crates/core/admin/src/causes.rs
+++ b/crates/core/admin/src/causes.rs
@@ -49,6 +49,8 @@
         ByRoute = "by_route",
         /// The process ended before the connection got a slot.
         NeverLetIn = "never_let_in",
+        /// No slot was free for its connection in time.
+        NoSlot = "no_slot",
     }
 }
 
--- a/src/proxy/http/request_handler.rs
+++ b/src/proxy/http/request_handler.rs
@@ -12,6 +12,7 @@
 use crate::proxy::http::responses::{bad, plain, respond_with};
 use crate::proxy::http::routing::{Forward, Routed};
 use crate::proxy::http::upload::Upload;
+use crate::proxy::listener::admission::ClientRole;
 use crate::proxy::listener::client_connection::Client;
 use crate::proxy::observability::request_trace::{self, Event};
 use crate::proxy::server::Server;
@@ -35,6 +36,8 @@
 const UPLOAD_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Body of a response that nobody will read.
 const CLIENT_GONE_TEXT: &str = "the client has gone";
+/// When a client may return for which there was no slot.
+const NO_SLOT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// An answer this long after the client's deadline violates an invariant.
 const LATE_ANSWER_TOLERANCE: Duration = Duration::from_millis(500);
 
@@ -72,6 +75,10 @@
         }
         client.ends_by_close.set(request.version() == Version::HTTP_10);
         client.has_unread_body.set(!request.body().is_end_stream());
+        if client.role == ClientRole::Refused {
+            self.count_turned_away(client.number, TurnedAway::NoSlot);
+            return respond_with(Answer::Rejected(self.backend.max_retry_after().min(NO_SLOT_RETRY_AFTER)));
+        }
         let (mut head, body) = request.into_parts();
         // Danger: a field that is read here and removed further on would be acted by, and be missing where it is relied on again; and a
         // client could have removed what its route adds.
--- a/src/proxy/listener/client_connection.rs
+++ b/src/proxy/listener/client_connection.rs
@@ -4,7 +4,7 @@
 use crate::proxy::http::arrival_clock::UploadFacts;
 use crate::proxy::http::request_body::steady_nanos;
 use crate::proxy::http::upload::Upload;
-use crate::proxy::listener::descriptors::Permit;
+use crate::proxy::listener::admission::{Admission, ClientRole};
 use crate::proxy::listener::read_buffer::{BufferedInput, ReadBuffer, READ_CHUNK};
 use crate::proxy::upstream::socket::Socket;
 use rushquay_admission::Evidence;
@@ -43,6 +43,8 @@
 pub struct Client {
     /// The connection's number in this process, for the request trace.
     pub number: u64,
+    /// Whether its requests are served.
+    pub role: ClientRole,
     pub socket: Rc<Socket>,
     pub read_buffer: Rc<ReadBuffer>,
     /// A request is being answered.
@@ -65,11 +67,12 @@
 }
 
 impl Client {
-    pub fn new(number: u64, stream: TcpStream, permit: Permit) -> Rc<Self> {
+    pub fn new(number: u64, stream: TcpStream, admission: Admission) -> Rc<Self> {
         let accepted_at = Instant::now();
         Rc::new(Client {
             number,
-            socket: Socket::new(stream, permit),
+            role: admission.role,
+            socket: Socket::new(stream, admission.permit),
             read_buffer: Rc::default(),
             busy: Cell::new(false),
             has_unread_body: Cell::new(false),
--- a/src/proxy/listener/client_registry.rs
+++ b/src/proxy/listener/client_registry.rs
@@ -1,5 +1,6 @@
 //! The client connections that are being served.
 
+use crate::proxy::listener::admission::ClientRole;
 use crate::proxy::listener::client_connection::Client;
 use std::cell::{Ref, RefCell};
 use std::rc::Rc;
@@ -25,6 +26,11 @@
         self.clients.borrow()
     }
 
+    /// Returns the number of connections with this role.
+    pub fn count(&self, role: ClientRole) -> usize {
+        self.clients.borrow().iter().filter(|client| client.role == role).count()
+    }
+
     /// Waits until a connection is no longer served.
     pub async fn left(&self) {
         self.left.notified().await;
--- a/src/proxy/listener/client_registry/tests.rs
+++ b/src/proxy/listener/client_registry/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::proxy::listener::admission::Admission;
 use crate::proxy::listener::descriptors::Descriptors;
 use std::future::pending;
 use tokio::net::{TcpListener, TcpStream};
@@ -19,7 +20,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
         let stream = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("connected");
         let (descriptors, registry) = (Descriptors::new(1), Rc::<ClientRegistry>::default());
-        let client = Client::new(1, stream, descriptors.take().expect("a descriptor"));
+        let permit = descriptors.take().expect("a descriptor");
+        let client = Client::new(1, stream, Admission { role: ClientRole::Served, permit });
         let registration = registry.register(client);
         assert_eq!((registry.borrow().len(), descriptors.taken()), (1, 1), "{end:?}");
         let tasks = LocalSet::new();
--- a/src/proxy/listener/connection_server.rs
+++ b/src/proxy/listener/connection_server.rs
@@ -2,8 +2,8 @@
 
 use crate::proxy::http::request_framing::RequestFraming;
 use crate::proxy::http::responses::{bad, closing};
+use crate::proxy::listener::admission::{Admission, ClientRole};
 use crate::proxy::listener::client_connection::{Busy, Client};
-use crate::proxy::listener::descriptors::Permit;
 use crate::proxy::listener::read_buffer::BufferedInput;
 use crate::proxy::observability::request_trace::{self, Event};
 use crate::proxy::server::Server;
@@ -37,8 +37,12 @@
 
 impl Server {
     /// Serves a new connection in a separate task.
-    pub fn serve_connection(self: &Rc<Self>, stream: TcpStream, permit: Permit) {
-        let registration = self.clients.register(Client::new(self.next_connection(), stream, permit));
+    pub fn serve_connection(self: &Rc<Self>, stream: TcpStream, admission: Admission) {
+        let client = Client::new(self.next_connection(), stream, admission);
+        // What has arrived may have done so since connections have had to wait.
+        let waiting_since = self.congestion.since().filter(|_| !client.socket.has_no_input());
+        waiting_since.into_iter().for_each(|since| client.read_buffer.assume_arrival(since));
+        let registration = self.clients.register(client);
         request_trace::event(|| Event::Connected { connection: registration.client().number });
         let server = self.clone();
         tokio::task::spawn_local(async move {
@@ -122,7 +126,7 @@
         if client.read_buffer.has_unknown_length.get() {
             return true;
         }
-        if !self.draining.get() && !client.closing() {
+        if !self.draining.get() && !client.closing() && client.role == ClientRole::Served {
             return false;
         }
         client.read_buffer.read_ahead(&client.socket);
--- a/src/proxy/listener/graceful_shutdown.rs
+++ b/src/proxy/listener/graceful_shutdown.rs
@@ -105,19 +105,19 @@
             }
         }
         drop(accepting);
-        // Connections without a permit wait until a request is answered, or the process ends.
+        // Connections without a slot wait until a request is answered, or they are refused.
         let latest = end - 2 * FINAL_WRITE_WINDOW;
         let _ = timeout_at(latest, self.admit_waiting()).await;
         let mut accepted = 0;
         // A successor that reported ready only now owns the listener.
         while accepted < MAX_QUEUED_CONNECTIONS && Instant::now() < latest && !handover_server.succeeded() {
-            let Some(permit) = self.try_permit() else {
-                let _ = timeout(EVICTION_WAIT, self.descriptors.freed()).await;
+            let Some(admission) = self.try_admission() else {
+                let _ = timeout(EVICTION_WAIT, self.slots.served.freed()).await;
                 continue;
             };
             let queued = accept_queued(listener, 1);
             match (queued.streams.into_iter().next(), queued.shortage) {
-                (Some(stream), _) => self.serve_connection(stream, permit),
+                (Some(stream), _) => self.serve_connection(stream, admission),
                 (None, None) => return,
                 // Descriptors are short; closing connections return some.
                 (None, Some(_)) => {
--- a/src/proxy/listener/mod.rs
+++ b/src/proxy/listener/mod.rs
@@ -1,6 +1,7 @@
 //! Connections from clients: accepting, admission, reading ahead, and graceful shutdown.
 
 pub(crate) mod acceptor;
+pub(crate) mod admission;
 pub(crate) mod client_connection;
 pub(crate) mod client_registry;
 pub(crate) mod connection_server;
--- a/src/proxy/listener/read_buffer.rs
+++ b/src/proxy/listener/read_buffer.rs
@@ -59,12 +59,20 @@
     /// Stream position at which the last parsed request ends; [`UNLIMITED`] if unknown.
     request_end: Cell<u64>,
     arrivals: RefCell<VecDeque<Arrival>>,
+    /// When the input that is read first may have arrived; `None`: when it is read.
+    assumed_arrival: Cell<Option<Instant>>,
 }
 
 impl ReadBuffer {
+    /// Assumes that the input which is read first arrived at this time: the connection has waited since then, at most.
+    pub fn assume_arrival(&self, at: Instant) {
+        self.assumed_arrival.set(Some(at));
+    }
+
     /// Records that bytes have arrived.
     pub fn record_arrival(&self, bytes: usize, at: Instant) {
         self.read.set(self.read.get() + bytes as u64);
+        let at = self.assumed_arrival.take().unwrap_or(at);
         let mut arrivals = self.arrivals.borrow_mut();
         let end = self.request_end.get();
         // Arrival times before the end of the request in progress are no longer needed.
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -14,6 +14,7 @@
 use crate::proxy::engine::Engine;
 use crate::proxy::envoy;
 use crate::proxy::http::request_ids::RequestIds;
+use crate::proxy::listener::admission::{Congestion, ConnectionLimits, ConnectionSlots};
 use crate::proxy::listener::client_registry::ClientRegistry;
 use crate::proxy::listener::descriptors::Descriptors;
 use crate::proxy::listener::listener_socket::{self, ListenSocket};
@@ -30,7 +31,6 @@
 use crate::proxy::upstream::backend::Backend;
 use crate::proxy::upstream::load_assignment::ClusterSet;
 use crate::proxy::upstream::Upstreams;
-use crate::proxy::{MAX_BUFFERED_BODY, MAX_READ_AHEAD};
 use rushquay_admin::{RequestMetrics, ServingState};
 use rushquay_endpoints::WatchMode;
 use rushquay_handover::{HandoverState, Incumbent, ResourceShare, SlowStartAllowance};
@@ -53,17 +53,10 @@
 const STATUS_INTERVAL: Duration = Duration::from_millis(200);
 /// Descriptors outside the budget: standard streams, the listener, those of the runtime and of discovery.
 const OWN_DESCRIPTORS: usize = 20 + discovery::DESCRIPTORS;
-/// Memory in bytes that does not belong to any connection.
-const OWN_MEMORY: usize = 8 << 20;
-
-/// Maximum memory of one connection in bytes: a buffered body with the piece that exceeds its limit, the read buffer that its headers are
-/// part of, the one that is being read into, and input that is read ahead.
-const MAX_CONNECTION_MEMORY: usize = MAX_BUFFERED_BODY + 4 * MAX_READ_AHEAD;
-
 /// A running proxy.
 pub(crate) struct Server {
     pub backend: Backend,
-    pub descriptors: Rc<Descriptors>,
+    pub slots: ConnectionSlots,
     /// Descriptors outside the budget.
     reserved_descriptors: usize,
     /// Graceful shutdown has begun.
@@ -77,8 +70,10 @@
     /// When this process ends.
     pub shutdown_deadline: ShutdownDeadline,
     pub clients: Rc<ClientRegistry>,
-    /// Connections that were accepted and have no descriptor permit yet.
+    /// Connections that were accepted and have no slot yet.
     pub waiting: RefCell<VecDeque<TcpStream>>,
+    /// For how long connections have had to wait for slots.
+    pub congestion: Congestion,
     /// Failures of accept for lack of descriptors or memory.
     pub shortage: RefCell<Outage>,
     pub request_ids: Rc<RequestIds>,
@@ -120,12 +115,12 @@
         crate::proxy::log(format_args!("operators at {}", operators.addr));
     }
     let reserved = reserved_descriptors(&config, operators.is_some(), handover_path.is_some());
-    let descriptors = Descriptors::new(capacity(share, reserved));
+    let slots = ConnectionSlots::new(ConnectionLimits::of(share, reserved));
     // Danger: two clocks that are started before and after a step of the wall clock differ by that step forever, and timestamps of one
     // are compared with those of the other. All components share this clock.
     let clock = Clock::by(&config.clocks);
     let host = config.supervisor.as_ref().map(|h| h.socket.clone());
-    let basis = ProcessBasis { clock, descriptors: &descriptors, metrics: &metrics, tasks: &tasks };
+    let basis = ProcessBasis { clock, descriptors: &slots.served, metrics: &metrics, tasks: &tasks };
     let Components { front, rollout, policy } = match config.envoy.clone() {
         Some(source) => envoy_clusters(config, source, bound, &basis)?,
         None => single_cluster(config, &basis, hangup, inherited.policy)?,
@@ -146,7 +141,7 @@
     }
     let server = Rc::new(Server {
         backend: front,
-        descriptors,
+        slots,
         reserved_descriptors: reserved,
         draining: Cell::new(false),
         serving: Cell::new(false),
@@ -154,6 +149,7 @@
         shutdown_deadline: ShutdownDeadline::default(),
         clients: Rc::default(),
         waiting: RefCell::default(),
+        congestion: Congestion::default(),
         shortage: RefCell::default(),
         request_ids: RequestIds::new(handover_path.as_deref().map(shared_claims::log_path)),
         connections: Cell::new(0),
@@ -231,13 +227,6 @@
     }
 }
 
-/// Returns how many connections the share of resources permits. Danger: every connection may hold as much as one can; the memory must
-/// suffice even if all of them do.
-fn capacity(share: ResourceShare, reserved: usize) -> usize {
-    let max_by_memory = share.memory.saturating_sub(OWN_MEMORY) / MAX_CONNECTION_MEMORY;
-    share.sockets.saturating_sub(reserved).min(max_by_memory).max(8)
-}
-
 impl ListenerOwner for Server {
     fn on_alone(&self) {
         self.request_ids.stop_sharing();
@@ -248,7 +237,7 @@
     }
 
     fn used_descriptors(&self) -> usize {
-        self.reserved_descriptors + self.descriptors.taken()
+        self.reserved_descriptors + self.slots.taken()
     }
 
     fn handover_state(&self) -> HandoverState {
@@ -266,8 +255,8 @@
     }
 
     fn apply_share(&self, share: ResourceShare) {
-        self.descriptors.resize(capacity(share, self.reserved_descriptors));
-        while self.descriptors.taken() > self.descriptors.most() && self.backend.close_oldest_idle() {}
+        self.slots.resize(ConnectionLimits::of(share, self.reserved_descriptors));
+        while self.slots.served.taken() > self.slots.served.most() && self.backend.close_oldest_idle() {}
     }
 }
 
--- a/src/proxy/upstream/backend.rs
+++ b/src/proxy/upstream/backend.rs
@@ -63,6 +63,14 @@
         }
     }
 
+    /// Returns the longest wait that a rejected client may be advised.
+    pub fn max_retry_after(&self) -> Duration {
+        Duration::from_nanos(match self {
+            Backend::Single { engine, .. } => engine.active_config().settings.max_retry_after,
+            Backend::Clusters(pools) => pools.acting().settings.max_retry_after,
+        })
+    }
+
     /// Returns how many cache nodes are listed, and how many of them are avoided at present.
     pub fn endpoint_counts(&self) -> (usize, usize) {
         match self {
