Hand over what the control service has said, so that no upgrade forgets an override

Callers saw: a node that an operator had taken out of service for ten minutes got its full part of the requests again as soon as a new version served, while the control service was away; pins, weights, drains and endpoints that only the control service tells were forgotten with it.

Cause: the offer of a hand-over held discovery's list, settings, policy and slow-start allowances, and nothing of the control service's statements in the old process's merger; the new process said yes without them.

Change: the offer has a part for these statements and for the control service's clock, read at a moment of the monotonic clock that both processes share. The new process acts by them before it can serve. What the control service says later goes before; what it does not repeat is withdrawn once its whole state has come. An offer stays within a message: the least restrictive statements are dropped first, with a line in the log. Programs without the part ignore it.

--- a/crates/core/endpoints/src/imposed.rs
+++ b/crates/core/endpoints/src/imposed.rs
@@ -1,10 +1,12 @@
 //! The effect of operators' overrides on an endpoint.
 
 use crate::{Nanos, OverrideTime, Pin};
+use serde::{Deserialize, Serialize};
 
 /// The overrides in effect for an endpoint, with their ends, so that a proxy can let them expire without contacting the
 /// control service. Times are Unix time in nanoseconds.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Imposed {
     /// Start and end of the time out of service; 0 and 0: it is in service, and was not recently taken out.
     pub out: (Nanos, Nanos),
@@ -64,6 +66,11 @@
         }
     }
 
+    /// Whether nothing is said of overrides at all, not even of past ones.
+    pub(crate) fn is_default(&self) -> bool {
+        *self == Imposed::default()
+    }
+
     /// Whether there are no overrides.
     pub fn is_empty(&self) -> bool {
         self.out == (0, 0) && self.weights.is_empty() && self.pins.is_empty()
--- a/crates/core/endpoints/src/lib.rs
+++ b/crates/core/endpoints/src/lib.rs
@@ -20,7 +20,10 @@
 pub use endpoint::{Endpoint, EndpointList, EndpointState};
 pub use imposed::{Imposed, OverrideEffect};
 pub use list_assembler::ListAssembler;
-pub use merge::{Changes, EndpointMerger, EndpointView, MergeLimits, Source, SourcedEndpoint, WatchEvent};
+pub use merge::{
+    Changes, ControlSnapshot, ControlStatement, EndpointMerger, EndpointView, MergeLimits, Source,
+    SourcedEndpoint, WatchEvent,
+};
 pub use pins::{Pin, Pins};
 pub use start_times::StartTimes;
 pub use time::{MergeTime, MonotonicTime, OverrideTime};
--- a/crates/core/endpoints/src/merge.rs
+++ b/crates/core/endpoints/src/merge.rs
@@ -19,8 +19,10 @@
 use crate::{Endpoint, EndpointList, EndpointState, Imposed, MergeTime, Nanos, OverrideTime, Pin};
 use std::collections::{BTreeSet, HashMap};
 
+mod control_snapshot;
 mod source_table;
 
+pub use control_snapshot::{ControlSnapshot, ControlStatement};
 use source_table::{SourceTable, Statement};
 
 /// A source of statements about endpoints, in the order of precedence for addresses.
@@ -180,14 +182,16 @@
     }
 
     /// Marks the statements of the control service as confirmed by its present process, which has sent its whole state
-    /// without changing them. Unconfirmed statements stay unconfirmed.
-    pub fn confirm_control(&mut self) {
+    /// without changing them. Unconfirmed statements stay unconfirmed; inherited ones that it has not repeated are withdrawn.
+    pub fn confirm_control(&mut self, now: MergeTime) -> Changes {
+        let changes = self.withdraw_inherited(now);
         let table = &mut self.tables[Source::Control as usize];
         table
             .statements
             .values_mut()
             .filter(|s| s.unconfirmed.is_none())
             .for_each(|s| s.view_number = table.view_number);
+        changes
     }
 
     /// Marks a source as unreachable.
--- a/crates/core/endpoints/src/merge/source_table.rs
+++ b/crates/core/endpoints/src/merge/source_table.rs
@@ -19,6 +19,8 @@
     pub(super) is_named: bool,
     /// A newer statement of the source that has not been accepted yet.
     pub(super) unconfirmed: Option<Box<SourcedEndpoint>>,
+    /// Whether the predecessor of this process heard it, and this process has not.
+    pub(super) is_inherited: bool,
 }
 
 /// The statements of one source.
@@ -39,7 +41,17 @@
     pub(super) fn new(stated: SourcedEndpoint, stated_at: MonotonicTime, view_number: u64) -> Self {
         let is_named = stated.member.state != EndpointState::Gone;
         let SourcedEndpoint { member, list_version: listed, is_from_discovery: shared, imposed } = stated;
-        Statement { member, listed, shared, imposed, stated_at, view_number, is_named, unconfirmed: None }
+        Statement {
+            member,
+            listed,
+            shared,
+            imposed,
+            stated_at,
+            view_number,
+            is_named,
+            unconfirmed: None,
+            is_inherited: false,
+        }
     }
 }
 
@@ -67,6 +79,7 @@
             // Overrides apply even if the statement about the endpoint is outdated.
             old.imposed = new.imposed.clone();
             old.unconfirmed = Some(Box::new(new));
+            old.is_inherited = false;
         }
     }
 
--- a/crates/core/endpoints/src/time.rs
+++ b/crates/core/endpoints/src/time.rs
@@ -16,6 +16,11 @@
         MonotonicTime(nanos)
     }
 
+    /// Nanoseconds since the clock's origin.
+    pub fn nanos(self) -> Nanos {
+        self.0
+    }
+
     /// The duration since `earlier`, in nanoseconds; 0 if `earlier` is later than this time.
     pub fn since(self, earlier: MonotonicTime) -> Nanos {
         self.0.saturating_sub(earlier.0)
--- a/crates/core/endpoints/tests/endpoint_merger.rs
+++ b/crates/core/endpoints/tests/endpoint_merger.rs
@@ -127,7 +127,7 @@
     // Restarted without state, it reads an instance of discovery that still serves list 41, like this process's own.
     m.apply_control_event("c2", WatchEvent::Changed(vec![sourced(node("a", Ready, 7), 41)], vec![]), at(2));
     assert_eq!(state(&m, "a"), Some(Draining));
-    m.confirm_control();
+    m.confirm_control(at(2));
     m.apply_control_event("c2", WatchEvent::Changed(vec![sourced(node("a", Ready, 7), 41)], vec![]), at(3));
     assert_eq!(state(&m, "a"), Some(Draining), "repeating the statement does not confirm it");
     // A list from after the drain is accepted.
@@ -229,7 +229,7 @@
 fn statements_confirmed_by_a_new_process_may_be_removed_by_it() {
     let mut m = both_sources();
     m.apply_control_event("c2", WatchEvent::Changed(vec![], vec![]), at(1));
-    m.confirm_control();
+    m.confirm_control(at(1));
     m.apply_control_event("c2", WatchEvent::Changed(vec![], vec!["a".into()]), at(2));
     assert_eq!(state(&m, "a"), None, "removed by the process that had confirmed it");
 }
--- a/crates/core/handover/src/lib.rs
+++ b/crates/core/handover/src/lib.rs
@@ -2,11 +2,13 @@
 //! state machine of each side, and how they share the resource limits while both run. No I/O and no clock: the adapter
 //! transports the messages and the listening socket, and reports timeouts.
 
+mod control_handover;
 mod incumbent;
 mod messages;
 mod resource_share;
 mod successor;
 
+pub use control_handover::{ControlClock, ControlHandover};
 pub use incumbent::{Incumbent, Peer, Reply};
 pub use messages::{
     HandoverState, IncumbentMessage, MessageError, Offer, SlowStartAllowance, SuccessorMessage,
--- a/crates/core/handover/src/messages.rs
+++ b/crates/core/handover/src/messages.rs
@@ -1,6 +1,7 @@
 //! The messages between incumbent and successor. Each is JSON, preceded by its length in four bytes (big-endian).
 
-use crate::ResourceShare;
+use crate::control_handover::encoded_size;
+use crate::{ControlHandover, ResourceShare};
 use rushquay_endpoints::EndpointList;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -52,6 +53,10 @@
         /// The slow-start allowance that the incumbent leaves to the successor.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         cold: Vec<SlowStartAllowance>,
+        /// What the incumbent holds by word of the control service (a [`ControlHandover`]); null: nothing. Ignored by versions that do
+        /// not know it.
+        #[serde(default, skip_serializing_if = "Value::is_null")]
+        control: Value,
     },
     /// Confirms [`SuccessorMessage::Ready`].
     Heard,
@@ -78,6 +83,8 @@
     pub policy: Option<String>,
     /// The slow-start allowances that the incumbent left.
     pub cold: Vec<SlowStartAllowance>,
+    /// What the incumbent holds by word of the control service.
+    pub control: Option<Box<ControlHandover>>,
 }
 
 /// The number of requests that may still be sent to an endpoint in slow start.
@@ -91,7 +98,8 @@
     pub left: f64,
 }
 
-/// The state that an incumbent hands over.
+/// The state that an incumbent hands over: all that it acts by and has by word of another. What is not here its successor has to hear before
+/// it can serve at all (the clusters of an Envoy configuration).
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct HandoverState {
     /// Its endpoint list, in discovery's format; null: it has none.
@@ -102,6 +110,22 @@
     pub policy: Option<String>,
     /// Its slow-start allowances.
     pub cold: Vec<SlowStartAllowance>,
+    /// What it holds by word of the control service: overrides, drains, and endpoints that nobody else lists.
+    pub control: Option<ControlHandover>,
+}
+
+/// What an offer takes beside the parts of the state: its own fields, and the names of the parts.
+const OFFER_OVERHEAD_BYTES: usize = 1024;
+
+impl HandoverState {
+    /// Drops statements of the control service, the least restrictive ones first, until an offer is no longer than a message may be. Danger:
+    /// a successor that cannot read the offer starts without any of the state. Returns how many were dropped.
+    pub fn fit_message(&mut self) -> usize {
+        let HandoverState { list, settings, policy, cold, control } = self;
+        let parts = [encoded_size(list), encoded_size(settings), encoded_size(policy), encoded_size(cold)];
+        let taken = parts.iter().sum::<usize>() + OFFER_OVERHEAD_BYTES;
+        control.as_mut().map_or(0, |control| control.truncate(MAX_MESSAGE_BYTES.saturating_sub(taken)))
+    }
 }
 
 /// Why a message is rejected.
--- a/crates/core/handover/src/successor.rs
+++ b/crates/core/handover/src/successor.rs
@@ -1,5 +1,6 @@
 //! The successor: a starting process that tries to take over from an incumbent.
 
+use crate::control_handover::valid_control;
 use crate::messages::{valid_allowances, valid_list};
 use crate::{IncumbentMessage, Offer, ResourceShare, SuccessorMessage, PROTOCOL_VERSIONS};
 use thiserror::Error;
@@ -62,12 +63,13 @@
         self.requests += 1;
         match heard {
             HandoverResponse::Answer {
-                said: IncumbentMessage::Offer { form, sockets, memory, list, settings, policy, cold },
+                said: IncumbentMessage::Offer { form, sockets, memory, list, settings, policy, cold, control },
                 listener: true,
             } if PROTOCOL_VERSIONS.contains(&form) => {
                 let (share, list, cold) =
                     (ResourceShare { sockets, memory }, valid_list(list), valid_allowances(cold));
-                Ok(Step::UseListener(Offer { share, list, settings, policy, cold }))
+                let control = valid_control(control);
+                Ok(Step::UseListener(Offer { share, list, settings, policy, cold, control }))
             }
             HandoverResponse::Answer { said: IncumbentMessage::Busy, .. } if self.requests < MAX_REQUESTS => {
                 Ok(Step::Retry)
--- a/crates/core/handover/tests/handover.rs
+++ b/crates/core/handover/tests/handover.rs
@@ -3,9 +3,9 @@
 
 use proptest::prelude::*;
 use rushquay_handover::{
-    HandoverError, HandoverResponse, HandoverState, Incumbent, IncumbentMessage, MessageError, Offer, Peer,
-    Reply, ResourceShare, SlowStartAllowance, Step, Successor, SuccessorMessage, MAX_MESSAGE_BYTES,
-    PROTOCOL_VERSIONS,
+    ControlHandover, HandoverError, HandoverResponse, HandoverState, Incumbent, IncumbentMessage,
+    MessageError, Offer, Peer, Reply, ResourceShare, SlowStartAllowance, Step, Successor, SuccessorMessage,
+    MAX_MESSAGE_BYTES, PROTOCOL_VERSIONS,
 };
 use serde_json::{json, Value};
 
@@ -84,13 +84,21 @@
         settings: None,
         policy: None,
         cold: Vec::new(),
+        control: Value::Null,
     };
     let share = ResourceShare { sockets: 9, memory: 8 };
     let heard =
         |said, listener| Successor::default().handle_response(HandoverResponse::Answer { said, listener });
     assert_eq!(
         heard(offer(1, Value::Null), true),
-        Ok(Step::UseListener(Offer { share, list: None, settings: None, policy: None, cold: Vec::new() }))
+        Ok(Step::UseListener(Offer {
+            share,
+            list: None,
+            settings: None,
+            policy: None,
+            cold: Vec::new(),
+            control: None
+        }))
     );
     assert_eq!(
         heard(offer(1, Value::Null), false),
@@ -123,7 +131,8 @@
                 list: None,
                 settings: None,
                 policy: None,
-                cold: Vec::new()
+                cold: Vec::new(),
+                control: None,
             }))
         );
     }
@@ -184,6 +193,7 @@
         settings: None,
         policy: None,
         cold,
+        control: Value::Null,
     };
     for message in [
         offer,
@@ -289,3 +299,96 @@
         IncumbentMessage::Offer { settings: Some(_), .. }
     ));
 }
+
+/// What a proxy of a fleet of this size holds by word of the control service, with each of its overrides.
+fn control_of(nodes: usize, overridden: usize) -> ControlHandover {
+    let statement = |n: usize| {
+        let overrides =
+            if n < overridden { json!({"out": [1, 9_000_000_000_000_000_000u64]}) } else { json!({}) };
+        json!({"stated": {"endpoint": {"id": format!("cache-{n}.gandhinagar"), "addr": "127.0.0.1:80", "zone": "gandhinagar", "kind": "std-1c",
+               "cell": 0, "state": "ready", "weight": 1.0, "started_ms": 0.0}, "started_ns": 0, "list_version": 4, "is_from_discovery": true,
+               "overrides": overrides}, "age": 5, "is_named": true, "is_confirmed": true})
+    };
+    let statements: Vec<Value> = (0..nodes).map(statement).collect();
+    let clock = json!({"unix_nanos": 1_764_000_000_000_000_000u64, "monotonic_nanos": 5, "error_nanos": 3});
+    serde_json::from_value(json!({"clock": clock, "view": {"process": "c@3", "statements": statements}}))
+        .expect("a state")
+}
+
+/// Guards against an offer that is too long for a message, so that the successor starts without any of the state.
+#[test]
+fn an_offer_fits_a_message_however_much_the_control_service_has_said() {
+    for (nodes, overridden) in [(1000, 1000), (3200, 1000), (20_000, 20_000)] {
+        let control = control_of(nodes, overridden);
+        let mut state = HandoverState {
+            control: Some(control),
+            list: json!("x".repeat(300_000)),
+            ..HandoverState::default()
+        };
+        let dropped = state.fit_message();
+        let kept = state.control.as_ref().map_or(0, |control| control.view.statements.len());
+        assert_eq!(kept + dropped, nodes);
+        // The most restrictive statements come first, and stay.
+        assert!(kept >= overridden.min(1500), "{kept} of {nodes}");
+        let reply = Incumbent::new(TOTAL).handle_message(Peer(1), &hello(), 0, || state);
+        let Some(Reply::WithListener(offer)) = reply else { panic!("no offer") };
+        assert!(offer.bytes().len() <= MAX_MESSAGE_BYTES, "{nodes} nodes: {} bytes", offer.bytes().len());
+    }
+}
+
+/// Guards against a successor that refuses an offer for what an incumbent of another version says in it.
+#[test]
+fn a_state_in_an_unknown_form_is_ignored_and_one_with_more_fields_is_read() {
+    let control = serde_json::to_value(control_of(1, 1)).expect("JSON");
+    let mut with_more = control.clone();
+    with_more["view"]["later"] = json!(1);
+    with_more["view"]["statements"][0]["stated"]["overrides"]["later"] = json!([1]);
+    for (control, expected) in
+        [(with_more, Some(control_of(1, 1))), (json!({"another": "form"}), None), (Value::Null, None)]
+    {
+        let said = IncumbentMessage::Offer {
+            form: 1,
+            sockets: 9,
+            memory: 8,
+            list: Value::Null,
+            settings: None,
+            policy: None,
+            cold: Vec::new(),
+            control,
+        };
+        let said = IncumbentMessage::read(&said.bytes()[4..]).expect("a message");
+        let step = Successor::default().handle_response(HandoverResponse::Answer { said, listener: true });
+        let Ok(Step::UseListener(offer)) = step else { panic!("{step:?}") };
+        assert_eq!(offer.control.as_deref(), expected.as_ref());
+    }
+}
+
+/// Guards against a part of the state that is added and not handed over: it has to be named here, and to travel.
+#[test]
+fn every_part_of_the_state_travels() {
+    let list = json!({"version": 3, "full": true, "servers": [{"id": "a", "addr": "127.0.0.1:80", "zone": "", "kind": "", "cell": 0,
+        "state": "ready", "weight": 1.0, "started_ms": 0.0}]});
+    let cold = vec![SlowStartAllowance { node: 7, started: 9, left: 1.5 }];
+    let HandoverState { list, settings, policy, cold, control } = HandoverState {
+        list,
+        settings: Some("s".into()),
+        policy: Some("p".into()),
+        cold,
+        control: Some(control_of(2, 1)),
+    };
+    let state = HandoverState {
+        list: list.clone(),
+        settings: settings.clone(),
+        policy: policy.clone(),
+        cold: cold.clone(),
+        control: control.clone(),
+    };
+    let reply = Incumbent::new(TOTAL).handle_message(Peer(1), &hello(), 0, || state);
+    let Some(Reply::WithListener(said)) = reply else { panic!("no offer") };
+    let said = IncumbentMessage::read(&said.bytes()[4..]).expect("a message");
+    let step = Successor::default().handle_response(HandoverResponse::Answer { said, listener: true });
+    let Ok(Step::UseListener(offer)) = step else { panic!("{step:?}") };
+    let Offer { share: _, list: offered, settings: s, policy: p, cold: c, control: held } = offer;
+    assert_eq!(serde_json::to_value(offered).expect("JSON"), list);
+    assert_eq!((s, p, c, held.as_deref()), (settings, policy, cold, control.as_ref()));
+}
--- a/src/proxy/control/subscription.rs
+++ b/src/proxy/control/subscription.rs
@@ -7,6 +7,7 @@
 use crate::proxy::control::settings::{ControlSource, ControlTls};
 use crate::proxy::discovery::endpoint_list::EndpointFeed;
 use rushquay_endpoints::MergeLimits;
+use rushquay_lease::Epoch;
 use rushquay_xds::client::Outage;
 use rushquay_xds_grpc::{run, ClientEvent, ClientOptions, Tls, TlsError, TlsFiles};
 use rushquay_xds_resources::{ControlFollower, FollowerConfig, FollowerEvent};
@@ -58,8 +59,9 @@
         MergeLimits { hold: self.source.hold_s.saturating_mul(1_000_000_000), ..MergeLimits::default() }
     }
 
-    /// Runs the subscription for as long as the process runs.
-    pub async fn follow(self, feed: Rc<EndpointFeed>, parts: StreamClients) {
+    /// Runs the subscription for as long as the process runs. `known_epoch` is the epoch of the control service that a predecessor heard:
+    /// those of earlier ones are not heard.
+    pub async fn follow(self, feed: Rc<EndpointFeed>, parts: StreamClients, known_epoch: Option<Epoch>) {
         let tls = match self.source.tls.as_ref().map(read_tls).transpose() {
             Ok(tls) => tls,
             // The subscription never runs without the configured TLS. The proxy's own discovery continues.
@@ -69,6 +71,7 @@
         };
         let options = self.client_options(tls, &parts);
         let mut follower = self.follower(&parts);
+        known_epoch.into_iter().for_each(|epoch| follower.since_epoch(epoch));
         let random = jitter(self.seed);
         let events = EventHandler {
             feed: &feed,
--- a/src/proxy/discovery/endpoint_list.rs
+++ b/src/proxy/discovery/endpoint_list.rs
@@ -7,10 +7,14 @@
     Changes, Endpoint, EndpointList, EndpointMerger, EndpointState, ListAssembler, MergeLimits, MergeTime,
     MonotonicTime, OverrideTime, Pin, Pins, Source, StartTimes, WatchEvent,
 };
+use rushquay_handover::{ControlClock, ControlHandover};
 use rushquay_lease::{Nanos, Skew, SECOND};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+/// Bound on the error of a clock that was never measured: any measurement is better.
+const UNMEASURED_ERROR: Nanos = 24 * 3600 * SECOND;
+
 /// Receives endpoint lists from their sources and passes one merged list to the engine.
 pub struct EndpointFeed {
     engine: Rc<Engine>,
@@ -142,10 +146,32 @@
 
     /// Handles that the control service has delivered its complete state on the current stream.
     pub fn control_confirmed(&self) {
-        self.update_merge(|merger, _| {
-            merger.confirm_control();
-            Changes::default()
-        });
+        self.update_merge(EndpointMerger::confirm_control);
+    }
+
+    /// Returns what the control service has said, for a successor; `None`: nothing.
+    pub fn control_handover(&self) -> Option<ControlHandover> {
+        let merger = self.merger.as_ref()?.borrow();
+        let now = self.merge_time();
+        let monotonic_nanos = monotonic_nanos();
+        let clock = ControlClock {
+            unix_nanos: now.overrides.unix_nanos(),
+            monotonic_nanos,
+            error_nanos: self.skew.get().error(monotonic_nanos),
+        };
+        let view = merger.control_snapshot(self.discovered_list().as_ref(), now)?;
+        Some(ControlHandover { clock, view })
+    }
+
+    /// Acts by what the control service had said to the predecessor of this process, until it says something else.
+    pub fn inherit_control(&self, given: ControlHandover) {
+        let monotonic = monotonic_nanos();
+        let control_service_now = given.clock.at(monotonic) as i64;
+        let ahead = control_service_now.saturating_sub(self.now() as i64);
+        let mut skew = self.skew.get();
+        skew.add_measurement(ahead, given.clock.error_nanos.unwrap_or(UNMEASURED_ERROR), monotonic);
+        self.skew.set(skew);
+        self.update_merge(|merger, now| merger.inherit_control(given.view, now));
     }
 
     /// Expires overrides, pins and other entries with a time limit.
--- a/src/proxy/process/startup.rs
+++ b/src/proxy/process/startup.rs
@@ -6,7 +6,7 @@
 use crate::proxy::process::handover::{self, Found, HandoverServer, Link};
 use crate::proxy::server::Server;
 use rushquay_endpoints::EndpointList;
-use rushquay_handover::{ResourceShare, SlowStartAllowance};
+use rushquay_handover::{ControlHandover, ResourceShare, SlowStartAllowance};
 use rushquay_invariants::check_reported_serving;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -33,6 +33,8 @@
     pub cold: Vec<SlowStartAllowance>,
     /// The policy state that the predecessor applied.
     pub policy: Option<PolicyHandover>,
+    /// What the predecessor held by word of the control service.
+    pub control: Option<ControlHandover>,
 }
 
 /// What a process starts with.
@@ -67,7 +69,12 @@
                 // A newer endpoint list that the old process had received applies to this one too.
                 config.known = newer(config.known.take(), offer.list);
                 let policy = offer.policy.and_then(|text| PolicyHandover::read(&text));
-                let inherited = Inherited { settings: offer.settings, cold: offer.cold, policy };
+                let inherited = Inherited {
+                    settings: offer.settings,
+                    cold: offer.cold,
+                    policy,
+                    control: offer.control.map(|control| *control),
+                };
                 (ListenSocket::Alone(listener), offer.share, Some(link), inherited)
             }
             Found::None => (listener_socket::bind(config.listen)?, whole, None, Inherited::default()),
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -33,8 +33,9 @@
 use crate::proxy::upstream::Upstreams;
 use rushquay_admin::{RequestMetrics, ServingState};
 use rushquay_endpoints::WatchMode;
-use rushquay_handover::{HandoverState, Incumbent, ResourceShare, SlowStartAllowance};
+use rushquay_handover::{ControlHandover, HandoverState, Incumbent, ResourceShare, SlowStartAllowance};
 use rushquay_invariants::{may_serve, NotReady, ServeFacts};
+use rushquay_lease::Epoch;
 use rushquay_xds::client::Outage;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -123,7 +124,7 @@
     let basis = ProcessBasis { clock, descriptors: &slots.served, metrics: &metrics, tasks: &tasks };
     let Components { front, rollout, policy } = match config.envoy.clone() {
         Some(source) => envoy_clusters(config, source, bound, &basis)?,
-        None => single_cluster(config, &basis, hangup, inherited.policy)?,
+        None => single_cluster(config, &basis, hangup, inherited.policy, inherited.control)?,
     };
     // Danger: a caller that receives the address assumes that the process has started, so nothing that may fail at startup may follow.
     on_listening(bound);
@@ -251,7 +252,16 @@
         };
         let cold = self.backend.release_slow_start_allowances().into_iter().map(cold).collect();
         let policy = self.policy.as_ref().map(|p| p.handover().text());
-        HandoverState { list: self.backend.endpoint_list(), settings, policy, cold }
+        let control = self.backend.control_handover();
+        let list = self.backend.endpoint_list();
+        let mut state = HandoverState { list, settings, policy, cold, control };
+        let dropped = state.fit_message();
+        if dropped > 0 {
+            crate::proxy::log(format_args!(
+                "hand-over: {dropped} statements of the control service do not fit; the new process has to hear them itself"
+            ));
+        }
+        state
     }
 
     fn apply_share(&self, share: ResourceShare) {
@@ -297,6 +307,7 @@
     basis: &ProcessBasis<'_>,
     hangup: SignalFlag,
     inherited: Option<PolicyHandover>,
+    inherited_control: Option<ControlHandover>,
 ) -> Result<Components, String> {
     let metrics = basis.metrics.clone();
     let discovery = config.discovery.ok_or("discovery is missing, and PROXY_DISCOVERY is not set")?;
@@ -314,6 +325,8 @@
     let servers = known.as_ref().map_or(&[][..], |known| &known.servers);
     let engine = Engine::new(acting, config.seed, servers, upstreams.clone(), basis.clock);
     let nodes = EndpointFeed::new(engine.clone(), subscription.as_ref().map(|s| s.limits()), known.as_ref());
+    let known_epoch = inherited_control.as_ref().map(|control| Epoch::from_name(&control.view.process));
+    inherited_control.into_iter().for_each(|control| nodes.inherit_control(control));
     let (discovery_changes, changed) = mpsc::unbounded_channel();
     basis.tasks.spawn(BackgroundTask::Discovery, discovery.follow(nodes.clone(), changed));
     let hosted = config.supervisor;
@@ -327,7 +340,10 @@
     if let Some(subscription) = subscription {
         let parts =
             subscription::StreamClients { rollout: rollout.clone(), policy: policy.clone(), wake: wake_up };
-        basis.tasks.spawn(BackgroundTask::ControlSubscription, subscription.follow(nodes.clone(), parts));
+        basis.tasks.spawn(
+            BackgroundTask::ControlSubscription,
+            subscription.follow(nodes.clone(), parts, known_epoch),
+        );
     }
     basis.tasks.spawn(BackgroundTask::Reload, reload::follow(hangup, discovery_changes));
     Ok(Components { front: Backend::Single { engine, upstreams, nodes }, rollout, policy })
--- a/src/proxy/upstream/backend.rs
+++ b/src/proxy/upstream/backend.rs
@@ -6,6 +6,7 @@
 use crate::proxy::engine::Engine;
 use crate::proxy::upstream::load_assignment::ClusterSet;
 use crate::proxy::upstream::Upstreams;
+use rushquay_handover::ControlHandover;
 use serde_json::Value;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,6 +40,14 @@
         }
     }
 
+    /// Returns what the control service has said, for a successor. Envoy clusters have nothing: a successor hears of them before it serves.
+    pub fn control_handover(&self) -> Option<ControlHandover> {
+        match self {
+            Backend::Single { nodes, .. } => nodes.control_handover(),
+            Backend::Clusters(_) => None,
+        }
+    }
+
     /// Gives up the slow-start allowance for cold nodes, for a successor. Envoy clusters have none: an Envoy configuration does not
     /// say when a node's process started.
     pub fn release_slow_start_allowances(&self) -> Vec<ColdEndpointAllowance> {
