Log and count the restrictions of nodes that a proxy passes over, and clock offsets

Change: a log line per statement that is passed over (node, source, state, both starts as they are compared, whose start is followed), proxy_statements_passed_over{source}, proxy_clock_ahead_ms{clock}, and traced entries of lists with state and start. The golden page gains these names; what stood there is unchanged.

--- a/crates/core/admin/src/causes.rs
+++ b/crates/core/admin/src/causes.rs
@@ -73,3 +73,15 @@
         Unsolicited = "unsolicited",
     }
 }
+
+labels! {
+    /// Who has said something about an endpoint.
+    pub enum StatementSource {
+        /// The proxy's own discovery.
+        Discovery = "discovery",
+        /// The list that the process was started with.
+        Configured = "configured",
+        /// The control service.
+        Control = "control",
+    }
+}
--- a/crates/core/admin/src/exposition.rs
+++ b/crates/core/admin/src/exposition.rs
@@ -34,6 +34,11 @@
     write_labelled(&mut text, "client_closes", "cause", &metrics.closes);
     write_labelled(&mut text, "node_closes", "cause", &metrics.node_closes);
     write_labelled(&mut text, "violations", "rule", &metrics.violations);
+    write_labelled(&mut text, "statements_passed_over", "source", &metrics.passed_over);
+    let offsets = &metrics.clock_offsets;
+    for (clock, offset) in [("discovery", &offsets.discovery), ("control", &offsets.control)] {
+        let _ = writeln!(text, "proxy_clock_ahead_ms{{clock=\"{clock}\"}} {}", offset.get());
+    }
     text.push_str(".\n");
     text
 }
--- a/crates/core/admin/src/lib.rs
+++ b/crates/core/admin/src/lib.rs
@@ -6,13 +6,15 @@
 #![forbid(unsafe_code)]
 
 mod causes;
+mod clock_offsets;
 mod command;
 mod connection_slots;
 mod exposition;
 mod label_counter;
 mod request_metrics;
 
-pub use causes::{Cause, NodeCloseCause, TurnedAway};
+pub use causes::{Cause, NodeCloseCause, StatementSource, TurnedAway};
+pub use clock_offsets::{ClockOffsets, SignedGauge};
 pub use command::{AdminCommand, CommandError, Line, LINE_MOST};
 pub use connection_slots::{ConnectionSlots, Ticket};
 pub use exposition::figures;
--- a/crates/core/admin/src/request_metrics.rs
+++ b/crates/core/admin/src/request_metrics.rs
@@ -1,6 +1,6 @@
 //! Request accounting: each request is counted exactly once when it ends, each attempt once it is fully written.
 
-use crate::{Cause, LabelCounter, NodeCloseCause, TurnedAway};
+use crate::{Cause, ClockOffsets, LabelCounter, NodeCloseCause, StatementSource, TurnedAway};
 use rushquay_invariants::{CloseCause, SendDenied, Violation};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -90,6 +90,10 @@
     pub node_closes: LabelCounter<NodeCloseCause>,
     /// Violated invariants, by rule.
     pub violations: LabelCounter<Violation>,
+    /// Restrictions of endpoints that are not followed, since another source states a later start, by who said them.
+    pub passed_over: LabelCounter<StatementSource>,
+    /// How far other machines' clocks are from this process's.
+    pub clock_offsets: ClockOffsets,
     serving_state: Counter,
 }
 
--- a/crates/core/admin/tests/operate.rs
+++ b/crates/core/admin/tests/operate.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use rushquay_admin::{
     figures, AdminCommand, Cause, CommandError, ConnectionSlots, Entry, Line, RequestMetrics, RequestOutcome,
-    ServingState, TurnedAway, LINE_MOST,
+    ServingState, StatementSource, TurnedAway, LINE_MOST,
 };
 use rushquay_invariants::{CloseCause, Violation};
 
@@ -62,6 +62,8 @@
     metrics.turned_away.one_more(TurnedAway::UnknownClass);
     metrics.closes.one_more(CloseCause::Drain);
     metrics.violations.one_more(Violation::ClosedUnanswered);
+    metrics.passed_over.one_more(StatementSource::Control);
+    metrics.clock_offsets.control.set(-7_400_000);
     let text = figures(&metrics);
     let lines: Vec<&str> = text.lines().collect();
     assert_eq!(
@@ -90,6 +92,10 @@
             "proxy_node_closes_total 0",
             "proxy_violations{rule=\"closed_unanswered\"} 1",
             "proxy_violations_total 1",
+            "proxy_statements_passed_over{source=\"control\"} 1",
+            "proxy_statements_passed_over_total 1",
+            "proxy_clock_ahead_ms{clock=\"discovery\"} 0",
+            "proxy_clock_ahead_ms{clock=\"control\"} -7400000",
             "."
         ]
     );
--- a/crates/core/endpoints/src/lib.rs
+++ b/crates/core/endpoints/src/lib.rs
@@ -21,8 +21,8 @@
 pub use imposed::{Imposed, OverrideEffect};
 pub use list_assembler::ListAssembler;
 pub use merge::{
-    Changes, ControlSnapshot, ControlStatement, EndpointMerger, EndpointView, MergeLimits, Source,
-    SourcedEndpoint, WatchEvent,
+    Changes, ControlSnapshot, ControlStatement, EndpointMerger, EndpointView, MergeLimits, PassedOver,
+    Source, SourcedEndpoint, WatchEvent,
 };
 pub use pins::{Pin, Pins};
 pub use start_times::StartTimes;
--- a/crates/core/endpoints/src/merge.rs
+++ b/crates/core/endpoints/src/merge.rs
@@ -20,9 +20,12 @@
 use std::collections::{BTreeSet, HashMap};
 
 mod control_snapshot;
+mod passed_over;
 mod source_table;
 
 pub use control_snapshot::{ControlSnapshot, ControlStatement};
+pub use passed_over::PassedOver;
+use passed_over::PassedOverStatements;
 use source_table::{SourceTable, Statement};
 
 /// A source of statements about endpoints, in the order of precedence for addresses.
@@ -113,6 +116,7 @@
     /// The time of the last event or tick, at which the overrides of all merged endpoints were evaluated. It steps back when the control
     /// service's clock does.
     override_now: OverrideTime,
+    passed_over: PassedOverStatements,
 }
 
 impl EndpointMerger {
@@ -123,9 +127,15 @@
             tables: Default::default(),
             merged: HashMap::new(),
             override_now: OverrideTime::default(),
+            passed_over: PassedOverStatements::default(),
         }
     }
 
+    /// Returns the restrictions that have been passed over since the last call, for the log.
+    pub fn take_passed_over(&mut self) -> Vec<PassedOver> {
+        self.passed_over.take_new()
+    }
+
     /// Applies a list in discovery's format, from discovery or from the configuration. A list with a lower version than the
     /// previous one breaks the continuity of the view: the list is outdated, or discovery has restarted its versions.
     pub fn apply_list(&mut self, source: Source, list: &EndpointList, now: MergeTime) -> Changes {
@@ -292,6 +302,8 @@
         let mut changes = Changes::default();
         for id in ids {
             let after = self.resolve(&id);
+            let passed_over = self.passed_over_for(&id, after.as_ref());
+            self.passed_over.set(&id, passed_over);
             let before = self.merged.get(&id).map(|(m, _)| m);
             match (after, before) {
                 (None, Some(_)) => changes.gone.extend(self.merged.remove(&id).map(|(m, _)| m)),
@@ -343,6 +355,28 @@
         Some((member, decided_by))
     }
 
+    /// The statements about an endpoint that are stricter than the merged list, and not followed for the start that they are about.
+    fn passed_over_for(&self, id: &str, merged: Option<&(Endpoint, Source)>) -> Vec<PassedOver> {
+        let Some((followed, followed_source)) = merged else { return Vec::new() };
+        let order = [Source::Discovery, Source::Configured, Source::Control];
+        let statements =
+            order.iter().filter_map(|s| Some((*s, self.tables[*s as usize].statements.get(id)?)));
+        let is_passed_over = |statement: &Statement| {
+            statement.member.state > followed.state && statement.member.started < followed.started
+        };
+        statements
+            .filter(|(_, statement)| is_passed_over(statement))
+            .map(|(source, statement)| PassedOver {
+                id: id.to_owned(),
+                source,
+                state: statement.member.state,
+                started: statement.member.started,
+                followed: *followed_source,
+                followed_start: followed.started,
+            })
+            .collect()
+    }
+
     /// Applies rule 7.
     fn apply_overrides(&self, id: &str, member: &mut Endpoint) {
         let statement = self.tables[Source::Control as usize].statements.get(id);
--- a/src/proxy/discovery/endpoint_list.rs
+++ b/src/proxy/discovery/endpoint_list.rs
@@ -2,22 +2,31 @@
 
 use crate::api::{server_id, ListKind, ServerId};
 use crate::proxy::engine::Engine;
+use rushquay_admin::{RequestMetrics, StatementSource};
 use rushquay_control_service::monotonic_nanos;
 use rushquay_endpoints::{
     Changes, Endpoint, EndpointList, EndpointMerger, EndpointState, ListAssembler, MergeLimits, MergeTime,
-    MonotonicTime, OverrideTime, Pin, Pins, Source, StartTimes, WatchEvent,
+    MonotonicTime, OverrideTime, PassedOver, Pin, Pins, Source, StartTimes, WatchEvent,
 };
 use rushquay_handover::{ControlClock, ControlHandover};
+use rushquay_invariants::Label;
 use rushquay_lease::{Nanos, Skew, SECOND};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// Bound on the error of a clock that was never measured: any measurement is better.
 const UNMEASURED_ERROR: Nanos = 24 * 3600 * SECOND;
 
+/// Most lines that the log gets of one event about statements that are passed over.
+const MAX_PASSED_OVER_LINES: usize = 16;
+/// Nanoseconds in a millisecond, as a signed number.
+const MILLISECOND: i64 = 1_000_000;
+
 /// Receives endpoint lists from their sources and passes one merged list to the engine.
 pub struct EndpointFeed {
     engine: Rc<Engine>,
+    metrics: Arc<RequestMetrics>,
     /// Merges the lists; `None` without a subscription to a control service.
     merger: Option<RefCell<EndpointMerger>>,
     /// How far the control service's clock is ahead of this process's. Override times are on the control service's clock.
@@ -35,7 +44,12 @@
 impl EndpointFeed {
     /// Creates a feed. With `limits`, discovery's list is merged with a control service's; without, it is passed on unchanged. `known` is
     /// the list that the engine was started with.
-    pub fn new(engine: Rc<Engine>, limits: Option<MergeLimits>, known: Option<&EndpointList>) -> Rc<Self> {
+    pub fn new(
+        engine: Rc<Engine>,
+        metrics: Arc<RequestMetrics>,
+        limits: Option<MergeLimits>,
+        known: Option<&EndpointList>,
+    ) -> Rc<Self> {
         let merger = limits.map(|limits| {
             let mut merger = EndpointMerger::new(limits);
             if let Some(known) = known {
@@ -50,7 +64,7 @@
         known.iter().for_each(|known| discovered.apply(known));
         let (skew, pins, discovered) = (Cell::default(), RefCell::default(), RefCell::new(discovered));
         let starts = RefCell::default();
-        Rc::new(EndpointFeed { engine, merger, skew, pins, discovered, starts, clock_origin })
+        Rc::new(EndpointFeed { engine, metrics, merger, skew, pins, discovered, starts, clock_origin })
     }
 
     /// Returns Unix time by this process's clock, which never steps.
@@ -81,6 +95,7 @@
             ));
         }
         self.skew.set(skew);
+        self.metrics.clock_offsets.control.set(skew.ahead() / MILLISECOND);
         // By the new offset, overrides may have expired or not yet have expired.
         self.tick();
     }
@@ -102,6 +117,7 @@
         };
         let merger = &mut *merger.borrow_mut();
         let changes = merger.apply_list(Source::Discovery, list, self.merge_time());
+        self.report_passed_over(merger);
         if list.full {
             let all: Vec<Endpoint> =
                 merger.nodes().map(|v| self.with_capped_start(v.member.clone())).collect();
@@ -116,6 +132,7 @@
     pub fn on_response_date(&self, date: Nanos) {
         let mut starts = self.starts.borrow_mut();
         if starts.record_response_date(date, self.engine.now()) {
+            self.metrics.clock_offsets.discovery.set(-starts.ahead() / MILLISECOND);
             crate::proxy::log(format_args!(
                 "this machine's wall clock was {:+.0} s from discovery's at the start; nodes' starts go by discovery's",
                 starts.ahead() as f64 / SECOND as f64
@@ -183,6 +200,7 @@
     fn update_merge(&self, change: impl FnOnce(&mut EndpointMerger, MergeTime) -> Changes) {
         let Some(merger) = &self.merger else { return };
         let changes = change(&mut merger.borrow_mut(), self.merge_time());
+        self.report_passed_over(&mut merger.borrow_mut());
         self.update_pins(&merger.borrow());
         if !changes.is_empty() {
             self.apply_changes(changes);
@@ -195,6 +213,16 @@
         Endpoint { started: member.started.min(self.engine.now()), ..member }
     }
 
+    /// Logs and counts the restrictions that the merger does not follow.
+    fn report_passed_over(&self, merger: &mut EndpointMerger) {
+        let passed_over = merger.take_passed_over();
+        passed_over.iter().for_each(|p| self.metrics.passed_over.one_more(statement_source(p.source)));
+        passed_over.iter().take(MAX_PASSED_OVER_LINES).for_each(log_passed_over);
+        if let Some(more @ 1..) = passed_over.len().checked_sub(MAX_PASSED_OVER_LINES) {
+            crate::proxy::log(format_args!("{more} more statements about nodes are passed over"));
+        }
+    }
+
     /// Passes operators' pins on to the engine if they changed.
     fn update_pins(&self, merger: &EndpointMerger) {
         let mut pins: Vec<(Pin, ServerId)> =
@@ -218,3 +246,23 @@
         self.engine.list(ListKind::Delta, &entries);
     }
 }
+
+fn statement_source(source: Source) -> StatementSource {
+    match source {
+        Source::Discovery => StatementSource::Discovery,
+        Source::Configured => StatementSource::Configured,
+        Source::Control => StatementSource::Control,
+    }
+}
+
+/// Logs which restriction is not followed and why, with the starts as they are compared.
+fn log_passed_over(passed_over: &PassedOver) {
+    let PassedOver { id, source, state, started, followed, followed_start } = passed_over;
+    let (source, followed) = (statement_source(*source), statement_source(*followed));
+    crate::proxy::log(format_args!(
+        "node {id}: {} says {} of the process that started at {started} ns, and is passed over: {} knows a start at {followed_start} ns",
+        source.name(),
+        state.as_str(),
+        followed.name(),
+    ));
+}
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -234,6 +234,10 @@
         let names = &self.active_config().names;
         let entries: Vec<(Entry, Option<SocketAddr>)> = members.iter().map(|m| names.entry(m)).collect();
         request_trace::event(|| Traced::List { entries: entries.len() });
+        for (entry, member) in entries.iter().map(|(entry, _)| entry).zip(members) {
+            let (state, started) = (member.state.as_str(), entry.started_at);
+            request_trace::event(|| Traced::Listed { node: entry.server, state, started });
+        }
         if kind != ListKind::Failed {
             self.upstreams.update(kind != ListKind::Delta, &entries);
         }
--- a/src/proxy/observability/request_trace.rs
+++ b/src/proxy/observability/request_trace.rs
@@ -54,6 +54,8 @@
     Gone { request: &'a str },
     /// An endpoint list was applied.
     List { entries: usize },
+    /// An entry of that list.
+    Listed { node: ServerId, state: &'static str, started: u64 },
 }
 
 /// A duration in whole microseconds; `-` if there is none.
@@ -130,6 +132,9 @@
             }
             Event::Gone { request } => write!(f, "gone request={request}"),
             Event::List { entries } => write!(f, "list entries={entries}"),
+            Event::Listed { node, state, started } => {
+                write!(f, "listed node={node:016x} state={state} started={started}")
+            }
         }
     }
 }
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -324,7 +324,12 @@
     let discovery = Discovery::new(discovery, known.as_ref().map(|known| known.version), watch_mode);
     let servers = known.as_ref().map_or(&[][..], |known| &known.servers);
     let engine = Engine::new(acting, config.seed, servers, upstreams.clone(), basis.clock);
-    let nodes = EndpointFeed::new(engine.clone(), subscription.as_ref().map(|s| s.limits()), known.as_ref());
+    let nodes = EndpointFeed::new(
+        engine.clone(),
+        metrics.clone(),
+        subscription.as_ref().map(|s| s.limits()),
+        known.as_ref(),
+    );
     let known_epoch = inherited_control.as_ref().map(|control| Epoch::from_name(&control.view.process));
     inherited_control.into_iter().for_each(|control| nodes.inherit_control(control));
     let (discovery_changes, changed) = mpsc::unbounded_channel();
