--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -1,6 +1,8 @@
 //! The real program between clients, nodes and discovery that a test plays by hand on loopback sockets.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod fleet;
+
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
