--- a/crates/adapters/etcd/tests/shared_state.rs
+++ b/crates/adapters/etcd/tests/shared_state.rs
@@ -1,6 +1,6 @@
 //! The leader's lease and the shared state in etcd, against a stand-in server.
 
-use rushquay_endpoints::{Endpoint, EndpointState, SourcedEndpoint};
+use rushquay_endpoints::{Endpoint, EndpointState, SourcedEndpoint, StatedStart};
 use rushquay_etcd::{EtcdShared, Prefix};
 use rushquay_etcd_standin::Etcd;
 use rushquay_overrides::{Effect, EventKind, Override, OverrideEvent, OverrideLimits, OverrideSet, Scope};
@@ -46,7 +46,7 @@
         cell: 0,
         state: EndpointState::Draining,
         weight: 1.0,
-        started: 7,
+        started: StatedStart::from_unix_nanos(7),
     };
     SourcedEndpoint { member, list_version: 41, is_from_discovery: true, imposed: Default::default() }
 }
--- a/crates/adapters/state/src/record.rs
+++ b/crates/adapters/state/src/record.rs
@@ -1,7 +1,7 @@
 //! The format of a stored record: two bytes of format version, four of checksum (CRC-32 of the rest), and JSON. No
 //! I/O.
 
-use rushquay_endpoints::{Endpoint, EndpointState, SourcedEndpoint};
+use rushquay_endpoints::{Endpoint, EndpointState, SourcedEndpoint, StatedStart};
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -128,7 +128,7 @@
             cell: endpoint.cell,
             state: endpoint.state.as_str().to_owned(),
             weight: endpoint.weight,
-            started_ns: endpoint.started,
+            started_ns: endpoint.started.unix_nanos(),
             listed: sourced.list_version,
             shared: sourced.is_from_discovery,
         }
@@ -145,7 +145,7 @@
             cell: stored.cell,
             state: EndpointState::from_text(&stored.state),
             weight: stored.weight,
-            started: stored.started_ns,
+            started: StatedStart::from_unix_nanos(stored.started_ns),
         };
         // Overrides are stored in tables of their own.
         SourcedEndpoint {
--- a/crates/adapters/state/tests/crash_recovery.rs
+++ b/crates/adapters/state/tests/crash_recovery.rs
@@ -1,7 +1,7 @@
 //! Crashes at every write: a storage that loses what was not synced, in part, torn and out of order.
 
 use redb::StorageBackend;
-use rushquay_endpoints::{Endpoint, EndpointState, SourcedEndpoint};
+use rushquay_endpoints::{Endpoint, EndpointState, SourcedEndpoint, StatedStart};
 use rushquay_overrides::{Effect, OverrideLimits, OverrideRequest, OverrideSet, Scope};
 use rushquay_state::{
     dump, restore, EndpointWrite, OverrideWrite, RecordWrite, StateError, StateStore, StoredState,
@@ -130,7 +130,7 @@
         cell: 1,
         state: if listed.is_multiple_of(3) { EndpointState::Draining } else { EndpointState::Ready },
         weight: 1.5,
-        started: 1_700_000_000_123_456_789,
+        started: StatedStart::from_unix_nanos(1_700_000_000_123_456_789),
     };
     SourcedEndpoint { member, list_version: listed, is_from_discovery: true, imposed: Default::default() }
 }
--- a/crates/core/endpoints/src/endpoint.rs
+++ b/crates/core/endpoints/src/endpoint.rs
@@ -1,6 +1,6 @@
 //! Endpoints and endpoint lists in discovery's wire format (PROTOCOL, "Discovery").
 
-use crate::Nanos;
+use crate::{Nanos, StatedStart};
 use serde::{Deserialize, Serialize, Serializer};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -60,9 +60,8 @@
     pub state: EndpointState,
     /// The capacity relative to other endpoints.
     pub weight: f64,
-    /// When its process last started, Unix time in nanoseconds; 0: long ago or unknown. It also identifies the
-    /// incarnation.
-    pub started: Nanos,
+    /// When its process last started, as stated. It identifies the incarnation.
+    pub started: StatedStart,
 }
 
 /// A list of endpoints.
@@ -109,7 +108,7 @@
             cell: wire.cell.unwrap_or(0),
             state: EndpointState::from_text(&wire.state),
             weight: wire.weight.unwrap_or(1.0),
-            started: (wire.started_ms.unwrap_or(0.0) * 1e6) as Nanos,
+            started: StatedStart::from_unix_nanos((wire.started_ms.unwrap_or(0.0) * 1e6) as Nanos),
             id: wire.id,
         }
     }
@@ -127,7 +126,7 @@
         fields.serialize_field("cell", &self.cell)?;
         fields.serialize_field("state", &self.state)?;
         fields.serialize_field("weight", &self.weight)?;
-        fields.serialize_field("started_ms", &(self.started as f64 / 1e6))?;
+        fields.serialize_field("started_ms", &(self.started.unix_nanos() as f64 / 1e6))?;
         fields.end()
     }
 }
--- a/crates/core/endpoints/src/imposed.rs
+++ b/crates/core/endpoints/src/imposed.rs
@@ -29,8 +29,8 @@
     pub is_out: bool,
     /// The weight factor.
     pub factor: f64,
-    /// When it returned to service with a cold cache; 0: it did not.
-    pub cold_return_at: Nanos,
+    /// When it returned to service with a cold cache; `None`: it did not.
+    pub cold_return_at: Option<OverrideTime>,
 }
 
 impl Imposed {
@@ -45,16 +45,12 @@
         self.weights.iter().find(|(until, _)| *until > now).map_or(1.0, |(_, factor)| *factor)
     }
 
-    /// When it returned to service with a cold cache; 0: it is out of service, or was out for too short a time.
-    pub fn cold_return_at(&self, now: OverrideTime) -> Nanos {
+    /// When it returned to service with a cold cache; `None`: it is out of service, or was out for too short a time.
+    pub fn cold_return_at(&self, now: OverrideTime) -> Option<OverrideTime> {
         let now = now.unix_nanos();
         let (since, until) = self.out;
         let is_cold_return = until > 0 && until <= now && until.saturating_sub(since) >= self.cold_after;
-        if is_cold_return {
-            until
-        } else {
-            0
-        }
+        is_cold_return.then(|| OverrideTime::from_unix_nanos(until))
     }
 
     /// The effect of all overrides but the pins at `now`.
--- a/crates/core/endpoints/src/lib.rs
+++ b/crates/core/endpoints/src/lib.rs
@@ -12,6 +12,7 @@
 mod merge;
 mod pins;
 mod start_times;
+mod stated_start;
 mod time;
 mod validation;
 mod watch_schedule;
@@ -25,7 +26,8 @@
     Source, SourcedEndpoint, WatchEvent,
 };
 pub use pins::{Pin, Pins};
-pub use start_times::StartTimes;
+pub use start_times::{StartClock, StartTimes};
+pub use stated_start::StatedStart;
 pub use time::{MergeTime, MonotonicTime, OverrideTime};
 pub use validation::{validate_list, ListError};
 pub use watch_schedule::{CallFailure, NextCall, WatchMode, WatchSchedule, NOTIFICATION_DEADLINE};
--- a/crates/core/endpoints/src/merge.rs
+++ b/crates/core/endpoints/src/merge.rs
@@ -106,13 +106,33 @@
     pub member: &'a Endpoint,
     /// The source that decided its state.
     pub decided_by: Source,
+    /// When it returned to service with a cold cache after an override; `None`: it did not.
+    pub cold_return_at: Option<OverrideTime>,
+}
+
+/// An endpoint of the merged list.
+#[derive(Clone, Debug, PartialEq)]
+struct Merged {
+    endpoint: Endpoint,
+    decided_by: Source,
+    cold_return_at: Option<OverrideTime>,
+}
+
+impl Merged {
+    fn view(&self) -> EndpointView<'_> {
+        EndpointView {
+            member: &self.endpoint,
+            decided_by: self.decided_by,
+            cold_return_at: self.cold_return_at,
+        }
+    }
 }
 
 /// The merged list.
 pub struct EndpointMerger {
     limits: MergeLimits,
     tables: [SourceTable; SOURCE_COUNT],
-    merged: HashMap<String, (Endpoint, Source)>,
+    merged: HashMap<String, Merged>,
     /// The time of the last event or tick, at which the overrides of all merged endpoints were evaluated. It steps back when the control
     /// service's clock does.
     override_now: OverrideTime,
@@ -238,7 +258,12 @@
 
     /// The merged list, in no particular order.
     pub fn nodes(&self) -> impl Iterator<Item = EndpointView<'_>> {
-        self.merged.values().map(|(member, decided_by)| EndpointView { member, decided_by: *decided_by })
+        self.merged.values().map(Merged::view)
+    }
+
+    /// An endpoint of the merged list; `None`: it is not there.
+    pub fn node(&self, id: &str) -> Option<EndpointView<'_>> {
+        self.merged.get(id).map(Merged::view)
     }
 
     /// The pins with the ids of their endpoints, without those of endpoints that are not in the merged list.
@@ -304,23 +329,23 @@
             let after = self.resolve(&id);
             let passed_over = self.passed_over_for(&id, after.as_ref());
             self.passed_over.set(&id, passed_over);
-            let before = self.merged.get(&id).map(|(m, _)| m);
-            match (after, before) {
-                (None, Some(_)) => changes.gone.extend(self.merged.remove(&id).map(|(m, _)| m)),
-                (None, None) => {}
-                (Some((member, source)), before) => {
-                    if before != Some(&member) {
-                        changes.upserts.push(member.clone());
-                    }
-                    self.merged.insert(id, (member, source));
-                }
+            let Some(after) = after else {
+                changes.gone.extend(self.merged.remove(&id).map(|before| before.endpoint));
+                continue;
+            };
+            let is_same = |before: &Merged| {
+                (&before.endpoint, before.cold_return_at) == (&after.endpoint, after.cold_return_at)
+            };
+            if !self.merged.get(&id).is_some_and(is_same) {
+                changes.upserts.push(after.endpoint.clone());
             }
+            self.merged.insert(id, after);
         }
         changes
     }
 
     /// Applies the rules to the statements about an endpoint; `None`: it is not in the merged list.
-    fn resolve(&self, id: &str) -> Option<(Endpoint, Source)> {
+    fn resolve(&self, id: &str) -> Option<Merged> {
         let order = [Source::Discovery, Source::Configured, Source::Control];
         let statements: Vec<(Source, &Statement)> =
             order.iter().filter_map(|s| Some((*s, self.tables[*s as usize].statements.get(id)?))).collect();
@@ -351,13 +376,13 @@
             weight: control.unwrap_or(first).weight,
             ..first.clone()
         };
-        self.apply_overrides(id, &mut member);
-        Some((member, decided_by))
+        let cold_return_at = self.apply_overrides(id, &mut member);
+        Some(Merged { endpoint: member, decided_by, cold_return_at })
     }
 
     /// The statements about an endpoint that are stricter than the merged list, and not followed for the start that they are about.
-    fn passed_over_for(&self, id: &str, merged: Option<&(Endpoint, Source)>) -> Vec<PassedOver> {
-        let Some((followed, followed_source)) = merged else { return Vec::new() };
+    fn passed_over_for(&self, id: &str, merged: Option<&Merged>) -> Vec<PassedOver> {
+        let Some(Merged { endpoint: followed, decided_by, .. }) = merged else { return Vec::new() };
         let order = [Source::Discovery, Source::Configured, Source::Control];
         let statements =
             order.iter().filter_map(|s| Some((*s, self.tables[*s as usize].statements.get(id)?)));
@@ -371,21 +396,20 @@
                 source,
                 state: statement.member.state,
                 started: statement.member.started,
-                followed: *followed_source,
+                followed: *decided_by,
                 followed_start: followed.started,
             })
             .collect()
     }
 
-    /// Applies rule 7.
-    fn apply_overrides(&self, id: &str, member: &mut Endpoint) {
-        let statement = self.tables[Source::Control as usize].statements.get(id);
-        let Some(imposed) = statement.map(|s| &s.imposed) else { return };
+    /// Applies rule 7. Returns when the endpoint returned to service with a cold cache.
+    fn apply_overrides(&self, id: &str, member: &mut Endpoint) -> Option<OverrideTime> {
+        let imposed = &self.tables[Source::Control as usize].statements.get(id)?.imposed;
         let effect = imposed.effect(self.override_now);
         if effect.is_out {
             member.state = member.state.max(EndpointState::Draining);
         }
         member.weight *= effect.factor;
-        member.started = member.started.max(effect.cold_return_at);
+        effect.cold_return_at
     }
 }
--- a/crates/core/endpoints/src/merge/control_snapshot.rs
+++ b/crates/core/endpoints/src/merge/control_snapshot.rs
@@ -2,7 +2,7 @@
 
 use super::source_table::Statement;
 use super::{Changes, EndpointMerger, Source, SourcedEndpoint};
-use crate::{Endpoint, EndpointList, EndpointState, Imposed, MergeTime, MonotonicTime, Nanos};
+use crate::{Endpoint, EndpointList, EndpointState, Imposed, MergeTime, MonotonicTime, Nanos, StatedStart};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeSet, HashMap};
 
@@ -54,7 +54,7 @@
 impl From<SourcedEndpoint> for StatedEndpoint {
     fn from(stated: SourcedEndpoint) -> Self {
         StatedEndpoint {
-            started_ns: stated.member.started,
+            started_ns: stated.member.started.unix_nanos(),
             endpoint: stated.member,
             list_version: stated.list_version,
             is_from_discovery: stated.is_from_discovery,
@@ -66,7 +66,7 @@
 impl From<StatedEndpoint> for SourcedEndpoint {
     fn from(stated: StatedEndpoint) -> Self {
         SourcedEndpoint {
-            member: Endpoint { started: stated.started_ns, ..stated.endpoint },
+            member: Endpoint { started: StatedStart::from_unix_nanos(stated.started_ns), ..stated.endpoint },
             list_version: stated.list_version,
             is_from_discovery: stated.is_from_discovery,
             imposed: stated.overrides,
--- a/crates/core/endpoints/src/merge/passed_over.rs
+++ b/crates/core/endpoints/src/merge/passed_over.rs
@@ -1,7 +1,7 @@
 //! Restrictions that are not followed, for the log: why an endpoint gets requests although a source has said that it drains or is gone.
 
 use super::Source;
-use crate::{EndpointState, Nanos};
+use crate::{EndpointState, StatedStart};
 use std::collections::BTreeMap;
 
 /// A restriction of one source that is not followed, since another source states a later start of the endpoint.
@@ -14,11 +14,11 @@
     /// The state that it says.
     pub state: EndpointState,
     /// The start of the incarnation that it is about.
-    pub started: Nanos,
+    pub started: StatedStart,
     /// The source that is followed, and the start that it states.
     pub followed: Source,
     /// The start of the incarnation that is followed.
-    pub followed_start: Nanos,
+    pub followed_start: StatedStart,
 }
 
 /// The restrictions that are passed over at present, and those that nobody has taken yet.
--- a/crates/core/endpoints/tests/control_snapshot.rs
+++ b/crates/core/endpoints/tests/control_snapshot.rs
@@ -24,7 +24,7 @@
         cell: 0,
         state,
         weight: 1.0,
-        started,
+        started: StatedStart::from_unix_nanos(started),
     }
 }
 
--- a/crates/core/endpoints/tests/endpoint_merger.rs
+++ b/crates/core/endpoints/tests/endpoint_merger.rs
@@ -27,7 +27,7 @@
         cell: 0,
         state,
         weight: 1.0,
-        started,
+        started: StatedStart::from_unix_nanos(started),
     }
 }
 
@@ -388,7 +388,7 @@
     };
     let changes = merge.apply_control_event("one", WatchEvent::Whole(vec![sourced(imposed)]), at(2 * S));
     let first_upsert = |changes: &rushquay_endpoints::Changes| {
-        changes.upserts.first().map(|m| (m.state, m.weight, m.started))
+        changes.upserts.first().map(|m| (m.state, m.weight, m.started.unix_nanos()))
     };
     assert_eq!(first_upsert(&changes), Some((EndpointState::Draining, 1.0, 0)));
     // The control service is unreachable from here on.
@@ -397,12 +397,18 @@
     assert_eq!(first_upsert(&merge.tick(at(50 * S))), Some((EndpointState::Draining, 0.5, 0)));
     // A new list and a restart of the endpoint do not end the override.
     let mut restarted = list("ready");
-    restarted.servers[0].started = 70 * S;
+    restarted.servers[0].started = StatedStart::from_unix_nanos(70 * S);
     merge.apply_list(Source::Discovery, &restarted, at(71 * S));
     assert!(merge.nodes().all(|v| v.member.state == EndpointState::Draining));
     // In service again after 99 s, with a cold cache and therefore a slow start.
-    assert_eq!(first_upsert(&merge.tick(at(100 * S))), Some((EndpointState::Ready, 0.5, 100 * S)));
-    assert_eq!(first_upsert(&merge.tick(at(200 * S))), Some((EndpointState::Ready, 2.0, 100 * S)));
+    // The return is on the control service's clock, and the start on that of whoever stated it.
+    let returned_at = |merge: &EndpointMerger| merge.node("a").and_then(|view| view.cold_return_at);
+    assert_eq!(returned_at(&merge), None);
+    let return_time = Some(OverrideTime::from_unix_nanos(100 * S));
+    assert_eq!(first_upsert(&merge.tick(at(100 * S))), Some((EndpointState::Ready, 0.5, 70 * S)));
+    assert_eq!(returned_at(&merge), return_time);
+    assert_eq!(first_upsert(&merge.tick(at(200 * S))), Some((EndpointState::Ready, 2.0, 70 * S)));
+    assert_eq!(returned_at(&merge), return_time);
     // The end of an override does not make a draining endpoint ready.
     let mut merge = EndpointMerger::new(MergeLimits::default());
     merge.apply_list(Source::Discovery, &list("draining"), at(S));
--- a/crates/core/handover/src/incumbent.rs
+++ b/crates/core/handover/src/incumbent.rs
@@ -123,9 +123,10 @@
         }
         self.state = State::Offered(peer);
         let ResourceShare { sockets, memory } = self.total.beside(self.total.incumbent_share(), open_sockets);
-        let HandoverState { list, settings, policy, cold, control } = take_state();
+        let HandoverState { list, settings, policy, cold, control, starts } = take_state();
         // Plain fields can't fail to serialize.
         let control = control.map(serde_json::to_value).and_then(Result::ok).unwrap_or_default();
+        let starts = starts.map(serde_json::to_value).and_then(Result::ok).unwrap_or_default();
         Reply::WithListener(IncumbentMessage::Offer {
             form: version,
             sockets,
@@ -135,6 +136,7 @@
             policy,
             cold,
             control,
+            starts,
         })
     }
 
--- a/crates/core/handover/src/lib.rs
+++ b/crates/core/handover/src/lib.rs
@@ -6,13 +6,15 @@
 mod incumbent;
 mod messages;
 mod resource_share;
+mod start_clock;
 mod successor;
 
 pub use control_handover::{ControlClock, ControlHandover};
 pub use incumbent::{Incumbent, Peer, Reply};
 pub use messages::{
-    HandoverState, IncumbentMessage, MessageError, Offer, SlowStartAllowance, SuccessorMessage,
-    MAX_MESSAGE_BYTES, PROTOCOL_VERSIONS,
+    EndpointIncarnation, HandoverState, IncumbentMessage, MessageError, Offer, SlowStartAllowance,
+    SuccessorMessage, MAX_MESSAGE_BYTES, PROTOCOL_VERSIONS,
 };
 pub use resource_share::ResourceShare;
+pub use start_clock::StartClockHandover;
 pub use successor::{HandoverError, HandoverResponse, Step, Successor};
--- a/crates/core/handover/src/messages.rs
+++ b/crates/core/handover/src/messages.rs
@@ -1,7 +1,7 @@
 //! The messages between incumbent and successor. Each is JSON, preceded by its length in four bytes (big-endian).
 
 use crate::control_handover::encoded_size;
-use crate::{ControlHandover, ResourceShare};
+use crate::{ControlHandover, ResourceShare, StartClockHandover};
 use rushquay_endpoints::EndpointList;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -57,6 +57,10 @@
         /// not know it.
         #[serde(default, skip_serializing_if = "Value::is_null")]
         control: Value,
+        /// The clocks by which the incumbent tells how long ago endpoints started (a [`StartClockHandover`]); null: unknown. Ignored by
+        /// versions that do not know it.
+        #[serde(default, skip_serializing_if = "Value::is_null")]
+        starts: Value,
     },
     /// Confirms [`SuccessorMessage::Ready`].
     Heard,
@@ -85,6 +89,8 @@
     pub cold: Vec<SlowStartAllowance>,
     /// What the incumbent holds by word of the control service.
     pub control: Option<Box<ControlHandover>>,
+    /// The clocks by which the incumbent tells how long ago endpoints started.
+    pub starts: Option<StartClockHandover>,
 }
 
 /// The number of requests that may still be sent to an endpoint in slow start.
@@ -92,10 +98,23 @@
 pub struct SlowStartAllowance {
     /// The endpoint, as the number derived from its name, which is the same in both processes.
     pub node: u64,
-    /// When the endpoint's process started, in Unix time in nanoseconds.
+    /// When the endpoint's process started by the incumbent's clock: Unix time in nanoseconds.
     pub started: u64,
     /// The number of requests, 0 or more; it may be fractional.
     pub left: f64,
+    /// Which process of the endpoint it is for; `None`: of a version that names it by `started`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub incarnation: Option<EndpointIncarnation>,
+}
+
+/// Names a process of an endpoint in a way that does not depend on the clock of this machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointIncarnation {
+    /// When the process started, as stated in lists, in milliseconds.
+    pub started_ms: u64,
+    /// When the endpoint returned with a cold cache by the control service's clock, in milliseconds; 0: it did not.
+    #[serde(default)]
+    pub cold_return_ms: u64,
 }
 
 /// The state that an incumbent hands over: all that it acts by and has by word of another. What is not here its successor has to hear before
@@ -112,6 +131,8 @@
     pub cold: Vec<SlowStartAllowance>,
     /// What it holds by word of the control service: overrides, drains, and endpoints that nobody else lists.
     pub control: Option<ControlHandover>,
+    /// The clocks by which it tells how long ago endpoints started.
+    pub starts: Option<StartClockHandover>,
 }
 
 /// What an offer takes beside the parts of the state: its own fields, and the names of the parts.
@@ -121,7 +142,7 @@
     /// Drops statements of the control service, the least restrictive ones first, until an offer is no longer than a message may be. Danger:
     /// a successor that cannot read the offer starts without any of the state. Returns how many were dropped.
     pub fn fit_message(&mut self) -> usize {
-        let HandoverState { list, settings, policy, cold, control } = self;
+        let HandoverState { list, settings, policy, cold, control, starts: _ } = self;
         let parts = [encoded_size(list), encoded_size(settings), encoded_size(policy), encoded_size(cold)];
         let taken = parts.iter().sum::<usize>() + OFFER_OVERHEAD_BYTES;
         control.as_mut().map_or(0, |control| control.truncate(MAX_MESSAGE_BYTES.saturating_sub(taken)))
--- a/crates/core/handover/src/successor.rs
+++ b/crates/core/handover/src/successor.rs
@@ -63,13 +63,25 @@
         self.requests += 1;
         match heard {
             HandoverResponse::Answer {
-                said: IncumbentMessage::Offer { form, sockets, memory, list, settings, policy, cold, control },
+                said:
+                    IncumbentMessage::Offer {
+                        form,
+                        sockets,
+                        memory,
+                        list,
+                        settings,
+                        policy,
+                        cold,
+                        control,
+                        starts,
+                    },
                 listener: true,
             } if PROTOCOL_VERSIONS.contains(&form) => {
                 let (share, list, cold) =
                     (ResourceShare { sockets, memory }, valid_list(list), valid_allowances(cold));
                 let control = valid_control(control);
-                Ok(Step::UseListener(Offer { share, list, settings, policy, cold, control }))
+                let starts = serde_json::from_value(starts).ok();
+                Ok(Step::UseListener(Offer { share, list, settings, policy, cold, control, starts }))
             }
             HandoverResponse::Answer { said: IncumbentMessage::Busy, .. } if self.requests < MAX_REQUESTS => {
                 Ok(Step::Retry)
--- a/crates/core/handover/tests/handover.rs
+++ b/crates/core/handover/tests/handover.rs
@@ -3,9 +3,9 @@
 
 use proptest::prelude::*;
 use rushquay_handover::{
-    ControlHandover, HandoverError, HandoverResponse, HandoverState, Incumbent, IncumbentMessage,
-    MessageError, Offer, Peer, Reply, ResourceShare, SlowStartAllowance, Step, Successor, SuccessorMessage,
-    MAX_MESSAGE_BYTES, PROTOCOL_VERSIONS,
+    ControlHandover, EndpointIncarnation, HandoverError, HandoverResponse, HandoverState, Incumbent,
+    IncumbentMessage, MessageError, Offer, Peer, Reply, ResourceShare, SlowStartAllowance,
+    StartClockHandover, Step, Successor, SuccessorMessage, MAX_MESSAGE_BYTES, PROTOCOL_VERSIONS,
 };
 use serde_json::{json, Value};
 
@@ -85,6 +85,7 @@
         policy: None,
         cold: Vec::new(),
         control: Value::Null,
+        starts: Value::Null,
     };
     let share = ResourceShare { sockets: 9, memory: 8 };
     let heard =
@@ -97,7 +98,8 @@
             settings: None,
             policy: None,
             cold: Vec::new(),
-            control: None
+            control: None,
+            starts: None,
         }))
     );
     assert_eq!(
@@ -133,6 +135,7 @@
                 policy: None,
                 cold: Vec::new(),
                 control: None,
+                starts: None,
             }))
         );
     }
@@ -184,7 +187,12 @@
 
 #[test]
 fn messages_round_trip_and_invalid_ones_are_rejected() {
-    let cold = vec![SlowStartAllowance { node: u64::MAX, started: 1_700_000_000_000_000_000, left: 2.5 }];
+    let cold = vec![SlowStartAllowance {
+        node: u64::MAX,
+        started: 1_700_000_000_000_000_000,
+        left: 2.5,
+        incarnation: None,
+    }];
     let offer = IncumbentMessage::Offer {
         form: 1,
         sockets: 3,
@@ -194,6 +202,7 @@
         policy: None,
         cold,
         control: Value::Null,
+        starts: Value::Null,
     };
     for message in [
         offer,
@@ -355,6 +364,7 @@
             policy: None,
             cold: Vec::new(),
             control,
+            starts: Value::Null,
         };
         let said = IncumbentMessage::read(&said.bytes()[4..]).expect("a message");
         let step = Successor::default().handle_response(HandoverResponse::Answer { said, listener: true });
@@ -368,13 +378,19 @@
 fn every_part_of_the_state_travels() {
     let list = json!({"version": 3, "full": true, "servers": [{"id": "a", "addr": "127.0.0.1:80", "zone": "", "kind": "", "cell": 0,
         "state": "ready", "weight": 1.0, "started_ms": 0.0}]});
-    let cold = vec![SlowStartAllowance { node: 7, started: 9, left: 1.5 }];
-    let HandoverState { list, settings, policy, cold, control } = HandoverState {
+    let cold = vec![SlowStartAllowance {
+        node: 7,
+        started: 9,
+        left: 1.5,
+        incarnation: Some(EndpointIncarnation { started_ms: 8, cold_return_ms: 5 }),
+    }];
+    let HandoverState { list, settings, policy, cold, control, starts } = HandoverState {
         list,
         settings: Some("s".into()),
         policy: Some("p".into()),
         cold,
         control: Some(control_of(2, 1)),
+        starts: Some(StartClockHandover { starts_nanos: 4, process_nanos: 6, monotonic_nanos: 2 }),
     };
     let state = HandoverState {
         list: list.clone(),
@@ -382,13 +398,15 @@
         policy: policy.clone(),
         cold: cold.clone(),
         control: control.clone(),
+        starts,
     };
     let reply = Incumbent::new(TOTAL).handle_message(Peer(1), &hello(), 0, || state);
     let Some(Reply::WithListener(said)) = reply else { panic!("no offer") };
     let said = IncumbentMessage::read(&said.bytes()[4..]).expect("a message");
     let step = Successor::default().handle_response(HandoverResponse::Answer { said, listener: true });
     let Ok(Step::UseListener(offer)) = step else { panic!("{step:?}") };
-    let Offer { share: _, list: offered, settings: s, policy: p, cold: c, control: held } = offer;
+    let Offer { share: _, list: offered, settings: s, policy: p, cold: c, control: held, starts: clocks } =
+        offer;
     assert_eq!(serde_json::to_value(offered).expect("JSON"), list);
-    assert_eq!((s, p, c, held.as_deref()), (settings, policy, cold, control.as_ref()));
+    assert_eq!((s, p, c, held.as_deref(), clocks), (settings, policy, cold, control.as_ref(), starts));
 }
--- a/crates/core/xds-resources/src/decode.rs
+++ b/crates/core/xds-resources/src/decode.rs
@@ -11,7 +11,7 @@
 use envoy_types::pb::google::protobuf::{value, Value};
 use prost::Message;
 use rushquay_config_version::ConfigAssignment;
-use rushquay_endpoints::{Endpoint, EndpointState, Imposed, SourcedEndpoint};
+use rushquay_endpoints::{Endpoint, EndpointState, Imposed, SourcedEndpoint, StatedStart};
 use rushquay_xds::client::ReceivedResource;
 use rushquay_xds::Kind;
 use std::collections::HashMap;
@@ -191,7 +191,7 @@
         cell: metadata.number("cell").map_or(0, |c| c as u32),
         state,
         weight,
-        started: nanos("started_ns")?,
+        started: StatedStart::from_unix_nanos(nanos("started_ns")?),
     };
     let imposed = imposed(&metadata)
         .map_err(|name| field_error(field_path(&format!("metadata.rushquay.{name}")), "not as expected"))?;
--- a/crates/core/xds-resources/src/encode.rs
+++ b/crates/core/xds-resources/src/encode.rs
@@ -120,7 +120,7 @@
         endpoint.cell,
         state_text(endpoint.state),
         endpoint.weight,
-        endpoint.started,
+        endpoint.started.unix_nanos(),
         node.list_version,
         node.is_from_discovery,
         // The text of an endpoint without overrides is the same as before there were overrides.
@@ -173,7 +173,7 @@
         ("cell", value::Kind::NumberValue(f64::from(m.cell))),
         ("weight", value::Kind::NumberValue(m.weight)),
         // Danger: numbers here are doubles, which can't represent Unix time in nanoseconds.
-        ("started_ns", text(&m.started.to_string())),
+        ("started_ns", text(&m.started.unix_nanos().to_string())),
         ("listed", text(&node.list_version.to_string())),
         ("shared", value::Kind::BoolValue(node.is_from_discovery)),
     ];
--- a/crates/core/xds-resources/tests/control_follower.rs
+++ b/crates/core/xds-resources/tests/control_follower.rs
@@ -5,7 +5,7 @@
 use proptest::test_runner::RngSeed;
 use rushquay_control_state::{ControlConfig, ControlState, EndpointChange, ListOutcome, ListSource};
 use rushquay_endpoints::{
-    Endpoint, EndpointList, EndpointMerger, EndpointState, MergeLimits, MergeTime, WatchEvent,
+    Endpoint, EndpointList, EndpointMerger, EndpointState, MergeLimits, MergeTime, StatedStart, WatchEvent,
 };
 use rushquay_xds::client::{ClientRequest, Ended, ReceivedResource, ServerAnswer, Session, Topic};
 use rushquay_xds::server::{Answer, DeltaRequest, Limits, SotwRequest, Stream, Variant};
@@ -34,7 +34,7 @@
         cell: 3,
         state,
         weight,
-        started,
+        started: StatedStart::from_unix_nanos(started),
     }
 }
 
--- a/crates/testing/scenario-runner/src/world.rs
+++ b/crates/testing/scenario-runner/src/world.rs
@@ -285,6 +285,7 @@
             state,
             weight: settings.cores as f64 * settings.speed,
             started_at: self.nodes[node].started(),
+            incarnation: None,
         }
     }
 
--- a/examples/state_figures.rs
+++ b/examples/state_figures.rs
@@ -233,7 +233,7 @@
         cell: 0,
         state: EndpointState::Ready,
         weight: 1.0,
-        started: 0,
+        started: rushquay_endpoints::StatedStart::UNKNOWN,
     };
     SourcedEndpoint { member, list_version: 1, is_from_discovery: true, imposed }
 }
--- a/src/decision/api.rs
+++ b/src/decision/api.rs
@@ -5,6 +5,8 @@
 
 /// A point in time on the caller's clock, or a duration, in nanoseconds.
 pub type Nanos = u64;
+/// Start times in lists have this precision.
+const NANOS_PER_MILLISECOND: Nanos = 1_000_000;
 /// Stable id of an endpoint, with the same value at every proxy (see [`server_id`]).
 pub type ServerId = u64;
 /// Id of a request at this proxy; below 2^52 and never reused.
@@ -164,8 +166,30 @@
     pub state: State,
     /// Capacity relative to other endpoints.
     pub weight: f64,
-    /// Time of its last start; 0 if it started long ago.
+    /// Time of its last start by the clock of this process; 0 if it started long ago.
     pub started_at: Nanos,
+    /// Which of its processes it is, where clocks differ; `None`: the one that started at `started_at`.
+    pub incarnation: Option<Incarnation>,
+}
+
+/// Names a process of an endpoint, or its return with a cold cache. It is the same wherever the endpoint is listed, so it is compared for
+/// equality alone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Incarnation {
+    /// When the process started, as stated, in milliseconds.
+    pub started_ms: u64,
+    /// When it returned to service with a cold cache by the control service's clock, in milliseconds; 0: it did not.
+    pub cold_return_ms: u64,
+}
+
+impl Entry {
+    /// Whether another entry is about the same process of the endpoint.
+    pub fn is_same_incarnation(&self, other: &Entry) -> bool {
+        match (self.incarnation, other.incarnation) {
+            (Some(own), Some(other)) => own == other,
+            _ => self.started_at == other.started_at,
+        }
+    }
 }
 
 /// What the entries of an endpoint-list event contain.
@@ -331,9 +355,11 @@
 pub struct ColdEndpointAllowance {
     /// The endpoint.
     pub server: ServerId,
-    /// Start time of the endpoint: Unix time, with the millisecond precision of the list. The allowance is
-    /// void if the endpoint has restarted since.
+    /// Start time of the endpoint by the clock of the process that hands over. The allowance is void if the
+    /// endpoint has restarted since.
     pub started_at: Nanos,
+    /// Which process of the endpoint it is for; `None`: the one that started at `started_at`.
+    pub incarnation: Option<Incarnation>,
     /// Requests left; below 1 none may be sent at present.
     pub remaining_requests: f64,
 }
@@ -341,6 +367,15 @@
 impl ColdEndpointAllowance {
     /// The allowance for the endpoint of this entry, with `left` requests.
     pub fn of(entry: &Entry, remaining_requests: f64) -> Self {
-        ColdEndpointAllowance { server: entry.server, started_at: entry.started_at, remaining_requests }
+        let Entry { server, started_at, incarnation, .. } = *entry;
+        ColdEndpointAllowance { server, started_at, incarnation, remaining_requests }
+    }
+
+    /// Whether it is for the process of this entry. Start times have the millisecond precision of the list.
+    pub fn is_for(&self, entry: &Entry) -> bool {
+        match (self.incarnation, entry.incarnation) {
+            (Some(own), Some(other)) => own == other,
+            _ => self.started_at.abs_diff(entry.started_at) < NANOS_PER_MILLISECOND,
+        }
     }
 }
--- a/src/decision/endpoint_set.rs
+++ b/src/decision/endpoint_set.rs
@@ -180,8 +180,8 @@
 
     fn upsert_endpoint(&mut self, now: Nanos, entry: Entry) {
         if let Some(endpoint) = self.endpoints.get_mut(entry.server) {
-            if endpoint.entry.started_at != entry.started_at {
-                // A changed start time means a new process, with an empty cache and no history of failures.
+            if !endpoint.entry.is_same_incarnation(&entry) {
+                // A new process has an empty cache and no history of failures.
                 endpoint.ejection = Ejection::default();
                 let tokens = unit_interval(mix64(self.rng.state ^ entry.started_at));
                 endpoint.slow_start_tokens = TokenBucket { tokens, refilled_at: now };
--- a/src/decision/slow_start.rs
+++ b/src/decision/slow_start.rs
@@ -6,7 +6,7 @@
 use super::endpoint_set::{Endpoint, EndpointIndex};
 use super::hash::{mix64, unit_interval};
 use super::token_bucket::TokenBucket;
-use super::{Balancer, MS, SECOND};
+use super::{Balancer, SECOND};
 
 /// Fraction of its keys that a cold endpoint receives, as a multiple of its minimum warmth. Danger: with a
 /// multiple of 1 new endpoints would be underused (they warm up sooner than the minimum, and misses cost them
@@ -85,10 +85,11 @@
     /// Adopts the allowances that the incumbent process handed over, in place of the random initial ones. An
     /// allowance for another start of its endpoint is ignored.
     pub fn inherit_slow_start_allowances(&mut self, now: Nanos, given: &[ColdEndpointAllowance]) {
-        for ColdEndpointAllowance { server, started_at: started, remaining_requests: left } in given {
-            let Some(endpoint) = self.endpoints.get_mut(*server) else { continue };
-            if endpoint.entry.started_at.abs_diff(*started) < MS {
-                endpoint.slow_start_tokens = TokenBucket { tokens: *left, refilled_at: now };
+        for allowance in given {
+            let Some(endpoint) = self.endpoints.get_mut(allowance.server) else { continue };
+            if allowance.is_for(&endpoint.entry) {
+                let tokens = allowance.remaining_requests;
+                endpoint.slow_start_tokens = TokenBucket { tokens, refilled_at: now };
             }
         }
     }
--- a/src/proxy/config/interner.rs
+++ b/src/proxy/config/interner.rs
@@ -1,6 +1,7 @@
 //! Translation between names on the wire and the numbers that the decision module uses.
 
-use crate::api::{server_id, Entry, State};
+use crate::api::{server_id, Entry, Nanos, State};
+use crate::proxy::discovery::node_starts::ListedEndpoint;
 use rushquay_endpoints::{Endpoint, EndpointState};
 use std::net::SocketAddr;
 
@@ -18,8 +19,15 @@
 }
 
 impl Interner {
-    /// Converts an endpoint to an entry of the decision module, and returns the address to connect to.
-    pub fn entry(&self, endpoint: &Endpoint) -> (Entry, Option<SocketAddr>) {
+    /// Converts a listed endpoint to an entry of the decision module, and returns the address to connect to.
+    pub fn listed_entry(&self, listed: &ListedEndpoint) -> (Entry, Option<SocketAddr>) {
+        let (entry, addr) = self.entry(&listed.endpoint, listed.started_at);
+        (Entry { incarnation: Some(listed.incarnation), ..entry }, addr)
+    }
+
+    /// Converts an endpoint that started at this time by the clock of this process to an entry of the decision module, and returns the
+    /// address to connect to.
+    pub fn entry(&self, endpoint: &Endpoint, started_at: Nanos) -> (Entry, Option<SocketAddr>) {
         // A name that the settings do not list gets an index past the end, which matches no listed name.
         let index =
             |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len()) as u32;
@@ -39,7 +47,8 @@
                 EndpointState::Gone => State::Gone,
             },
             weight: endpoint.weight,
-            started_at: endpoint.started,
+            started_at,
+            incarnation: None,
         };
         (entry, endpoint.addr)
     }
--- a/src/proxy/discovery/endpoint_list.rs
+++ b/src/proxy/discovery/endpoint_list.rs
@@ -1,14 +1,15 @@
 //! The endpoint list of this proxy: discovery's list alone, or merged with a control service's.
 
 use crate::api::{server_id, ListKind, ServerId};
+use crate::proxy::discovery::node_starts::{ListedEndpoint, NodeStarts};
 use crate::proxy::engine::Engine;
 use rushquay_admin::{RequestMetrics, StatementSource};
 use rushquay_control_service::monotonic_nanos;
 use rushquay_endpoints::{
     Changes, Endpoint, EndpointList, EndpointMerger, EndpointState, ListAssembler, MergeLimits, MergeTime,
-    MonotonicTime, OverrideTime, PassedOver, Pin, Pins, Source, StartTimes, WatchEvent,
+    MonotonicTime, OverrideTime, PassedOver, Pin, Pins, Source, WatchEvent,
 };
-use rushquay_handover::{ControlClock, ControlHandover};
+use rushquay_handover::{ControlClock, ControlHandover, StartClockHandover};
 use rushquay_invariants::Label;
 use rushquay_lease::{Nanos, Skew, SECOND};
 use std::cell::{Cell, RefCell};
@@ -20,8 +21,6 @@
 
 /// Most lines that the log gets of one event about statements that are passed over.
 const MAX_PASSED_OVER_LINES: usize = 16;
-/// Nanoseconds in a millisecond, as a signed number.
-const MILLISECOND: i64 = 1_000_000;
 
 /// Receives endpoint lists from their sources and passes one merged list to the engine.
 pub struct EndpointFeed {
@@ -35,8 +34,8 @@
     pins: RefCell<Vec<(Pin, ServerId)>>,
     /// Discovery's complete list, for a successor.
     discovered: RefCell<ListAssembler>,
-    /// Converts endpoints' start times to this process's clock.
-    starts: RefCell<StartTimes>,
+    /// When nodes started by this process's clock.
+    starts: RefCell<NodeStarts>,
     /// Unix time at the start of the process, and the reading of the machine's steady clock at that moment.
     clock_origin: (Nanos, Nanos),
 }
@@ -49,6 +48,7 @@
         metrics: Arc<RequestMetrics>,
         limits: Option<MergeLimits>,
         known: Option<&EndpointList>,
+        starts: NodeStarts,
     ) -> Rc<Self> {
         let merger = limits.map(|limits| {
             let mut merger = EndpointMerger::new(limits);
@@ -63,7 +63,7 @@
         let mut discovered = ListAssembler::default();
         known.iter().for_each(|known| discovered.apply(known));
         let (skew, pins, discovered) = (Cell::default(), RefCell::default(), RefCell::new(discovered));
-        let starts = RefCell::default();
+        let starts = RefCell::new(starts);
         Rc::new(EndpointFeed { engine, metrics, merger, skew, pins, discovered, starts, clock_origin })
     }
 
@@ -95,9 +95,10 @@
             ));
         }
         self.skew.set(skew);
-        self.metrics.clock_offsets.control.set(skew.ahead() / MILLISECOND);
+        let has_changed = self.starts.borrow_mut().record_control_clock(skew, &self.metrics.clock_offsets);
         // By the new offset, overrides may have expired or not yet have expired.
         self.tick();
+        self.list_anew_if(has_changed);
     }
 
     /// Returns discovery's complete list.
@@ -106,37 +107,57 @@
     }
 
     /// Handles the complete list from discovery, or changes to it.
-    pub fn on_discovery_list(&self, list: EndpointList) {
-        self.discovered.borrow_mut().apply(&list);
-        let mut list = list;
-        self.starts.borrow_mut().convert(&mut list.servers, self.engine.now());
-        let list = &list;
+    pub fn on_discovery_list(&self, list: &EndpointList) {
+        self.discovered.borrow_mut().apply(list);
+        let has_changed = self.starts.borrow_mut().record_list(&list.servers, self.engine.now());
         let Some(merger) = &self.merger else {
             let kind = if list.full { ListKind::Full } else { ListKind::Delta };
-            return self.engine.list(kind, &list.servers);
+            let listed = self.listed(&list.servers);
+            self.engine.list(kind, &listed);
+            return self.list_anew_if(has_changed);
         };
-        let merger = &mut *merger.borrow_mut();
-        let changes = merger.apply_list(Source::Discovery, list, self.merge_time());
-        self.report_passed_over(merger);
+        let changes = merger.borrow_mut().apply_list(Source::Discovery, list, self.merge_time());
+        self.report_passed_over(&mut merger.borrow_mut());
         if list.full {
-            let all: Vec<Endpoint> =
-                merger.nodes().map(|v| self.with_capped_start(v.member.clone())).collect();
-            self.engine.list(ListKind::Full, &all);
+            self.engine.list(ListKind::Full, &self.all_listed());
         } else {
             // Passed on even if nothing changed, so that the module learns that discovery responds.
             self.apply_changes(changes);
+            self.list_anew_if(has_changed);
         }
     }
 
     /// Handles the Unix time of a response from discovery, by discovery's clock.
     pub fn on_response_date(&self, date: Nanos) {
-        let mut starts = self.starts.borrow_mut();
-        if starts.record_response_date(date, self.engine.now()) {
-            self.metrics.clock_offsets.discovery.set(-starts.ahead() / MILLISECOND);
-            crate::proxy::log(format_args!(
-                "this machine's wall clock was {:+.0} s from discovery's at the start; nodes' starts go by discovery's",
-                starts.ahead() as f64 / SECOND as f64
-            ));
+        let offsets = &self.metrics.clock_offsets;
+        let has_changed = self.starts.borrow_mut().record_response_date(date, self.engine.now(), offsets);
+        self.list_anew_if(has_changed);
+    }
+
+    /// Returns the clocks by which nodes' starts are told, for a successor.
+    pub fn start_clock_handover(&self) -> StartClockHandover {
+        self.starts.borrow().clock_handover(self.engine.now())
+    }
+
+    /// Lists these endpoints of discovery as the engine takes them.
+    fn listed(&self, endpoints: &[Endpoint]) -> Vec<ListedEndpoint> {
+        let (now, mut starts) = (self.engine.now(), self.starts.borrow_mut());
+        endpoints.iter().map(|endpoint| starts.listed(endpoint, now)).collect()
+    }
+
+    /// Lists all nodes as the engine takes them.
+    fn all_listed(&self) -> Vec<ListedEndpoint> {
+        let Some(merger) = &self.merger else {
+            return self.discovered_list().map_or(Vec::new(), |list| self.listed(&list.servers));
+        };
+        let (now, mut starts) = (self.engine.now(), self.starts.borrow_mut());
+        merger.borrow().nodes().map(|view| starts.listed_view(&view, now)).collect()
+    }
+
+    /// Tells the engine of all nodes again if their ages are known better than before.
+    fn list_anew_if(&self, has_changed: bool) {
+        if has_changed {
+            self.engine.list(ListKind::Delta, &self.all_listed());
         }
     }
 
@@ -207,12 +228,6 @@
         }
     }
 
-    /// Caps the start time at the current time. Danger: by a clock that is ahead of this one an endpoint may have started in the future,
-    /// and would count as cold until then and during its whole slow start.
-    fn with_capped_start(&self, member: Endpoint) -> Endpoint {
-        Endpoint { started: member.started.min(self.engine.now()), ..member }
-    }
-
     /// Logs and counts the restrictions that the merger does not follow.
     fn report_passed_over(&self, merger: &mut EndpointMerger) {
         let passed_over = merger.take_passed_over();
@@ -241,8 +256,13 @@
 
     /// Passes changes of the merged list on to the engine.
     fn apply_changes(&self, changes: Changes) {
+        let Some(merger) = &self.merger else { return };
         let gone = changes.gone.into_iter().map(|m| Endpoint { state: EndpointState::Gone, ..m });
-        let entries: Vec<Endpoint> = gone.chain(changes.upserts).map(|m| self.with_capped_start(m)).collect();
+        let mut entries = self.listed(&gone.collect::<Vec<_>>());
+        let (now, merger, mut starts) = (self.engine.now(), merger.borrow(), self.starts.borrow_mut());
+        let changed = changes.upserts.iter().filter_map(|endpoint| merger.node(&endpoint.id));
+        entries.extend(changed.map(|view| starts.listed_view(&view, now)));
+        drop((merger, starts));
         self.engine.list(ListKind::Delta, &entries);
     }
 }
@@ -260,9 +280,11 @@
     let PassedOver { id, source, state, started, followed, followed_start } = passed_over;
     let (source, followed) = (statement_source(*source), statement_source(*followed));
     crate::proxy::log(format_args!(
-        "node {id}: {} says {} of the process that started at {started} ns, and is passed over: {} knows a start at {followed_start} ns",
+        "node {id}: {} says {} of the process that started at {} ns, and is passed over: {} knows a start at {} ns",
         source.name(),
         state.as_str(),
+        started.unix_nanos(),
         followed.name(),
+        followed_start.unix_nanos(),
     ));
 }
--- a/src/proxy/discovery/mod.rs
+++ b/src/proxy/discovery/mod.rs
@@ -1,6 +1,7 @@
 //! Watches the endpoint list at discovery with one call after another, on the schedule of a [`WatchSchedule`].
 
 pub(crate) mod endpoint_list;
+pub(crate) mod node_starts;
 
 use crate::api::Nanos;
 use crate::proxy::discovery::endpoint_list::EndpointFeed;
@@ -166,7 +167,7 @@
             crate::proxy::log(format_args!("discovery at {} responds again after {n} failures", self.addr));
         }
         fleet_stats::count(Kind::ListLines, members.servers.len() as u64);
-        feed.on_discovery_list(members);
+        feed.on_discovery_list(&members);
     }
 
     /// Records a failed call, and tells the feed if discovery counts as unreachable.
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -4,6 +4,7 @@
 use crate::api::*;
 use crate::proxy::clock::{margin, Clock};
 use crate::proxy::config::active_config::ActiveConfig;
+use crate::proxy::discovery::node_starts::ListedEndpoint;
 use crate::proxy::http::answer::Answer;
 use crate::proxy::http::request_ids::ExecutionClaim;
 use crate::proxy::observability::fleet_stats::{self, Kind};
@@ -14,7 +15,7 @@
 use crate::proxy::upstream::Upstreams;
 use crate::Balancer;
 use rushquay_admin::Cause;
-use rushquay_endpoints::{Endpoint, Pins};
+use rushquay_endpoints::Pins;
 use rustc_hash::FxHashMap;
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -148,7 +149,7 @@
     pub fn new(
         acting: Rc<ActiveConfig>,
         seed: u64,
-        known: &[Endpoint],
+        known: &[ListedEndpoint],
         upstreams: Rc<Upstreams>,
         clock: Clock,
     ) -> Rc<Self> {
@@ -230,12 +231,13 @@
     }
 
     /// Applies an endpoint list, or changes to it, to the connection pools and the decision module.
-    pub fn list(&self, kind: ListKind, members: &[Endpoint]) {
+    pub fn list(&self, kind: ListKind, members: &[ListedEndpoint]) {
         let names = &self.active_config().names;
-        let entries: Vec<(Entry, Option<SocketAddr>)> = members.iter().map(|m| names.entry(m)).collect();
+        let entries: Vec<(Entry, Option<SocketAddr>)> =
+            members.iter().map(|m| names.listed_entry(m)).collect();
         request_trace::event(|| Traced::List { entries: entries.len() });
         for (entry, member) in entries.iter().map(|(entry, _)| entry).zip(members) {
-            let (state, started) = (member.state.as_str(), entry.started_at);
+            let (state, started) = (member.endpoint.state.as_str(), entry.started_at);
             request_trace::event(|| Traced::Listed { node: entry.server, state, started });
         }
         if kind != ListKind::Failed {
--- a/src/proxy/process/startup.rs
+++ b/src/proxy/process/startup.rs
@@ -6,7 +6,7 @@
 use crate::proxy::process::handover::{self, Found, HandoverServer, Link};
 use crate::proxy::server::Server;
 use rushquay_endpoints::EndpointList;
-use rushquay_handover::{ControlHandover, ResourceShare, SlowStartAllowance};
+use rushquay_handover::{ControlHandover, ResourceShare, SlowStartAllowance, StartClockHandover};
 use rushquay_invariants::check_reported_serving;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -35,6 +35,8 @@
     pub policy: Option<PolicyHandover>,
     /// What the predecessor held by word of the control service.
     pub control: Option<ControlHandover>,
+    /// The clocks by which the predecessor told how long ago nodes started.
+    pub starts: Option<StartClockHandover>,
 }
 
 /// What a process starts with.
@@ -74,6 +76,7 @@
                     cold: offer.cold,
                     policy,
                     control: offer.control.map(|control| *control),
+                    starts: offer.starts,
                 };
                 (ListenSocket::Alone(listener), offer.share, Some(link), inherited)
             }
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -1,15 +1,16 @@
 //! The proxy process: starts its components, reports readiness, and hands its state over to a successor.
 
-use crate::api::ColdEndpointAllowance;
+use crate::api::{ColdEndpointAllowance, Incarnation};
 use crate::proxy::clock::Clock;
 use crate::proxy::config::active_config::ActiveConfig;
 use crate::proxy::config::layers::ConfigLayers;
 use crate::proxy::config::reload;
 use crate::proxy::config::Config;
-use crate::proxy::control::policy_client::{PolicyClient, PolicyHandover};
+use crate::proxy::control::policy_client::PolicyClient;
 use crate::proxy::control::rollout_client::RolloutClient;
 use crate::proxy::control::subscription;
 use crate::proxy::discovery::endpoint_list::EndpointFeed;
+use crate::proxy::discovery::node_starts::NodeStarts;
 use crate::proxy::discovery::{self, Discovery};
 use crate::proxy::engine::Engine;
 use crate::proxy::envoy;
@@ -25,7 +26,7 @@
 use crate::proxy::process::handover::{self, HandoverServer, ListenerOwner};
 use crate::proxy::process::shared_claims;
 use crate::proxy::process::signals::SignalFlag;
-use crate::proxy::process::startup::{StartupPlan, TakeOver};
+use crate::proxy::process::startup::{Inherited, StartupPlan, TakeOver};
 use crate::proxy::process::supervised::Supervised;
 use crate::proxy::tasks::{record_panic, BackgroundTask, BackgroundTasks, TaskPanic};
 use crate::proxy::upstream::backend::Backend;
@@ -33,7 +34,7 @@
 use crate::proxy::upstream::Upstreams;
 use rushquay_admin::{RequestMetrics, ServingState};
 use rushquay_endpoints::WatchMode;
-use rushquay_handover::{ControlHandover, HandoverState, Incumbent, ResourceShare, SlowStartAllowance};
+use rushquay_handover::{EndpointIncarnation, HandoverState, Incumbent, ResourceShare, SlowStartAllowance};
 use rushquay_invariants::{may_serve, NotReady, ServeFacts};
 use rushquay_lease::Epoch;
 use rushquay_xds::client::Outage;
@@ -103,7 +104,7 @@
     let handover_path = handover::meeting_place(config.listen);
     let plan = StartupPlan::find(&mut config, handover_path.as_deref(), whole).await?;
     let is_beside = plan.is_beside();
-    let StartupPlan { listening, bound, share, mut predecessor, inherited } = plan;
+    let StartupPlan { listening, bound, share, mut predecessor, mut inherited } = plan;
     crate::proxy::log(format_args!("listening on {bound}"));
     crate::proxy::observability::fleet_stats::start();
     request_trace::start();
@@ -124,16 +125,11 @@
     let basis = ProcessBasis { clock, descriptors: &slots.served, metrics: &metrics, tasks: &tasks };
     let Components { front, rollout, policy } = match config.envoy.clone() {
         Some(source) => envoy_clusters(config, source, bound, &basis)?,
-        None => single_cluster(config, &basis, hangup, inherited.policy, inherited.control)?,
+        None => single_cluster(config, &basis, hangup, &mut inherited)?,
     };
     // Danger: a caller that receives the address assumes that the process has started, so nothing that may fail at startup may follow.
     on_listening(bound);
-    let allowance = |c: SlowStartAllowance| ColdEndpointAllowance {
-        server: c.node,
-        started_at: c.started,
-        remaining_requests: c.left,
-    };
-    front.inherit_slow_start_allowances(&inherited.cold.into_iter().map(allowance).collect::<Vec<_>>());
+    front.inherit_slow_start_allowances(&inherited.cold.iter().map(read_allowance).collect::<Vec<_>>());
     tasks.spawn(BackgroundTask::PauseDetection, pause_detection::detect_pauses());
     tasks.spawn(BackgroundTask::IdleSweep, sweep_idle_connections(front.clone()));
     // The incumbent's configuration applies before the control service can be reached.
@@ -201,6 +197,30 @@
     tasks.result()
 }
 
+/// Reads a slow-start allowance that the predecessor offers.
+fn read_allowance(offered: &SlowStartAllowance) -> ColdEndpointAllowance {
+    ColdEndpointAllowance {
+        server: offered.node,
+        started_at: offered.started,
+        incarnation: offered
+            .incarnation
+            .map(|i| Incarnation { started_ms: i.started_ms, cold_return_ms: i.cold_return_ms }),
+        remaining_requests: offered.left,
+    }
+}
+
+/// The form in which a slow-start allowance is offered to a successor.
+fn offered_allowance(left: &ColdEndpointAllowance) -> SlowStartAllowance {
+    SlowStartAllowance {
+        node: left.server,
+        started: left.started_at,
+        left: left.remaining_requests,
+        incarnation: left
+            .incarnation
+            .map(|i| EndpointIncarnation { started_ms: i.started_ms, cold_return_ms: i.cold_return_ms }),
+    }
+}
+
 /// Returns the number of descriptors outside the budget for connections.
 fn reserved_descriptors(config: &Config, has_operators: bool, has_handover: bool) -> usize {
     OWN_DESCRIPTORS
@@ -245,16 +265,12 @@
         // Danger: the successor reads it as soon as it has the offer.
         self.request_ids.share();
         let settings = self.rollout.as_ref().and_then(|r| r.assignment_text());
-        let cold = |c: ColdEndpointAllowance| SlowStartAllowance {
-            node: c.server,
-            started: c.started_at,
-            left: c.remaining_requests,
-        };
-        let cold = self.backend.release_slow_start_allowances().into_iter().map(cold).collect();
+        let cold = self.backend.release_slow_start_allowances().iter().map(offered_allowance).collect();
         let policy = self.policy.as_ref().map(|p| p.handover().text());
         let control = self.backend.control_handover();
         let list = self.backend.endpoint_list();
-        let mut state = HandoverState { list, settings, policy, cold, control };
+        let starts = self.backend.start_clock_handover();
+        let mut state = HandoverState { list, settings, policy, cold, control, starts };
         let dropped = state.fit_message();
         if dropped > 0 {
             crate::proxy::log(format_args!(
@@ -306,8 +322,7 @@
     config: Config,
     basis: &ProcessBasis<'_>,
     hangup: SignalFlag,
-    inherited: Option<PolicyHandover>,
-    inherited_control: Option<ControlHandover>,
+    inherited: &mut Inherited,
 ) -> Result<Components, String> {
     let metrics = basis.metrics.clone();
     let discovery = config.discovery.ok_or("discovery is missing, and PROXY_DISCOVERY is not set")?;
@@ -322,14 +337,18 @@
         Upstreams::new(basis.descriptors.clone(), metrics.clone(), config.connect_timeout, settings);
     let known = config.known;
     let discovery = Discovery::new(discovery, known.as_ref().map(|known| known.version), watch_mode);
-    let servers = known.as_ref().map_or(&[][..], |known| &known.servers);
-    let engine = Engine::new(acting, config.seed, servers, upstreams.clone(), basis.clock);
+    let now = basis.clock.now();
+    let mut starts = NodeStarts::inherited(inherited.starts.as_ref(), &inherited.cold, now);
+    let servers = starts.first_listed(known.as_ref(), now);
+    let engine = Engine::new(acting, config.seed, &servers, upstreams.clone(), basis.clock);
     let nodes = EndpointFeed::new(
         engine.clone(),
         metrics.clone(),
         subscription.as_ref().map(|s| s.limits()),
         known.as_ref(),
+        starts,
     );
+    let inherited_control = inherited.control.take();
     let known_epoch = inherited_control.as_ref().map(|control| Epoch::from_name(&control.view.process));
     inherited_control.into_iter().for_each(|control| nodes.inherit_control(control));
     let (discovery_changes, changed) = mpsc::unbounded_channel();
@@ -339,9 +358,9 @@
     let rollout = config
         .rollout
         .map(|source| RolloutClient::new(source, hosted, layers.clone(), metrics, wake_up.clone()));
-    let policy = config
-        .policy
-        .map(|source| PolicyClient::new(source, layers, config.clocks, inherited, wake_up.clone()));
+    let policy = config.policy.map(|source| {
+        PolicyClient::new(source, layers, config.clocks, inherited.policy.take(), wake_up.clone())
+    });
     if let Some(subscription) = subscription {
         let parts =
             subscription::StreamClients { rollout: rollout.clone(), policy: policy.clone(), wake: wake_up };
--- a/src/proxy/upstream/backend.rs
+++ b/src/proxy/upstream/backend.rs
@@ -6,7 +6,7 @@
 use crate::proxy::engine::Engine;
 use crate::proxy::upstream::load_assignment::ClusterSet;
 use crate::proxy::upstream::Upstreams;
-use rushquay_handover::ControlHandover;
+use rushquay_handover::{ControlHandover, StartClockHandover};
 use serde_json::Value;
 use std::rc::Rc;
 use std::time::Duration;
@@ -48,6 +48,14 @@
         }
     }
 
+    /// Returns the clocks by which nodes' starts are told, for a successor.
+    pub fn start_clock_handover(&self) -> Option<StartClockHandover> {
+        match self {
+            Backend::Single { nodes, .. } => Some(nodes.start_clock_handover()),
+            Backend::Clusters(_) => None,
+        }
+    }
+
     /// Gives up the slow-start allowance for cold nodes, for a successor. Envoy clusters have none: an Envoy configuration does not
     /// say when a node's process started.
     pub fn release_slow_start_allowances(&self) -> Vec<ColdEndpointAllowance> {
--- a/src/proxy/upstream/load_assignment.rs
+++ b/src/proxy/upstream/load_assignment.rs
@@ -9,7 +9,7 @@
 use crate::proxy::listener::descriptors::Descriptors;
 use crate::proxy::upstream::{idle_timeout_for, ConnectionLimits, Upstreams};
 use rushquay_admin::RequestMetrics;
-use rushquay_endpoints::{Endpoint, EndpointState};
+use rushquay_endpoints::{Endpoint, EndpointState, StatedStart};
 use rushquay_envoy::catalogue::{Batch, Spec, Split};
 use rushquay_load_assignment::{Breakers, EndpointUse, Node, Overload};
 use rushquay_routing::Table;
@@ -340,7 +340,7 @@
         EndpointUse::StandsBy => (EndpointState::Ready, State::Draining),
         EndpointUse::Drains => (EndpointState::Draining, State::Draining),
     };
-    let (mut entry, addr) = names.entry(&Endpoint {
+    let endpoint = Endpoint {
         id: node.id.to_string(),
         addr: Some(node.addr),
         zone: node.zone.to_string(),
@@ -348,8 +348,9 @@
         cell: node.cell,
         state: pool_state,
         weight: node.weight,
-        started: node.started,
-    });
+        started: StatedStart::UNKNOWN,
+    };
+    let (mut entry, addr) = names.entry(&endpoint, node.started);
     if let Some(kind) = settings.origin_kind {
         match node.origin {
             true => entry.kind = kind,
--- a/src/proxy/upstream/mod.rs
+++ b/src/proxy/upstream/mod.rs
@@ -11,7 +11,7 @@
 mod reuse;
 pub(crate) mod socket;
 
-use crate::api::{Entry, Nanos, ServerId, Settings, State, Status};
+use crate::api::{Entry, Incarnation, Nanos, ServerId, Settings, State, Status};
 use crate::proxy::http::headers::TIME_LEFT;
 use crate::proxy::http::request_body::{steady_nanos, ReturnConnection, StreamedResponse};
 use crate::proxy::http::response_reader::{read, ResponseReader};
@@ -102,6 +102,7 @@
     addr: Option<SocketAddr>,
     kind: u32,
     started: Nanos,
+    incarnation: Option<Incarnation>,
     ready: bool,
     /// Changes with every event that makes older connections unusable: a restart, a new address, a drain.
     epoch: u64,
@@ -111,6 +112,17 @@
     stats: Rc<ConnectionStats>,
 }
 
+impl Node {
+    /// Whether an entry of the list says nothing else of it than before.
+    fn is_same(&self, entry: &Entry, addr: Option<SocketAddr>) -> bool {
+        let is_same_incarnation = match entry.incarnation {
+            Some(incarnation) => self.incarnation == Some(incarnation),
+            None => self.started == entry.started_at,
+        };
+        is_same_incarnation && self.addr == addr && self.ready == (entry.state == State::Ready)
+    }
+}
+
 /// Connection and attempt counters of a node.
 #[derive(Default)]
 pub struct ConnectionStats {
@@ -255,19 +267,19 @@
             }
             let ready = entry.state == State::Ready;
             let mut old = nodes.get_mut(&entry.server);
-            if old
-                .as_ref()
-                .is_some_and(|n| n.addr == *addr && n.started == entry.started_at && n.ready == ready)
-            {
+            if let Some(known) = old.as_mut().filter(|node| node.is_same(entry, *addr)) {
+                // Its age may have been corrected.
+                known.started = entry.started_at;
                 continue;
             }
             old.iter_mut().for_each(|n| n.idle.close_all(NodeCloseCause::NodeChanged));
             self.epochs.set(self.epochs.get() + 1);
             let epoch = self.epochs.get();
             let (stats, group_since) = old.map(|n| (n.stats.clone(), n.group_since)).unwrap_or_default();
-            let (addr, kind, started, idle) =
-                (*addr, entry.kind, entry.started_at, IdleConnections::default());
-            nodes.insert(entry.server, Node { addr, kind, started, ready, epoch, idle, group_since, stats });
+            let Entry { server, kind, started_at: started, incarnation, .. } = *entry;
+            let (addr, idle) = (*addr, IdleConnections::default());
+            let node = Node { addr, kind, started, incarnation, ready, epoch, idle, group_since, stats };
+            nodes.insert(server, node);
         }
         self.ready.set(nodes.values().filter(|n| n.ready && n.addr.is_some()).count());
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -300,6 +300,7 @@
         },
         weight: optional(fields, "share")?.unwrap_or(1.0),
         started_at: optional(fields, "launched_ns")?.unwrap_or(0),
+        incarnation: None,
     };
     Ok(Line::Entry(name, entry))
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -41,6 +41,7 @@
         state: State::Ready,
         weight: 1.0,
         started_at: 0,
+        incarnation: None,
     }
 }
 
