Follow what a later list says of a node, also if it states a smaller start

Callers saw: requests at a draining or removed node whose machine's clock was stepped back before its process began anew, for as long as another source (a control service that is behind or away, the configured list) still knew the process before.

Cause: the merger takes the greatest start for the newest process and ignores all other statements; within a source, a smaller start from a control service that had restarted stayed unconfirmed for hold_s.

Change: a statement of a later version of discovery's list is never ignored for its start; a restriction is taken whatever start it states. Changes from discovery replace what the configured list says of the same node, which they continue.

Why it works: versions of one discovery order statements without any clock; starts decide only where versions do not.

--- a/crates/core/endpoints/src/merge.rs
+++ b/crates/core/endpoints/src/merge.rs
@@ -2,7 +2,9 @@
 //! configuration at startup.
 //!
 //! The rules, in order, for each endpoint:
-//! 1. Statements about an older incarnation of the endpoint are ignored once a source knows a newer one.
+//! 1. Statements about an older incarnation of the endpoint are ignored once a source knows a newer one. Danger: a machine whose clock was
+//!    stepped back states a smaller start for its new process. So a statement of a later version of discovery's list is never ignored for
+//!    its start.
 //! 2. Among statements about the same incarnation, the most restrictive state wins: gone, then draining, then ready.
 //! 3. The endpoint gets requests only while at least one source lists it.
 //! 4. A source can withdraw a restriction if its view is continuous (the statement comes from the same process that made
@@ -172,6 +174,11 @@
             }
         };
         let all: Vec<SourcedEndpoint> = list.servers.iter().map(stated).collect();
+        if source == Source::Discovery && list.version > self.tables[Source::Configured as usize].version {
+            // Its changes continue the configured list.
+            let configured = &mut self.tables[Source::Configured as usize].statements;
+            list.servers.iter().for_each(|endpoint| drop(configured.remove(&endpoint.id)));
+        }
         let event = if list.full { WatchEvent::Whole(all) } else { WatchEvent::Changed(all, Vec::new()) };
         let mut changes = self.apply_event(source, event, now);
         if source == Source::Discovery
@@ -350,9 +357,9 @@
         let statements: Vec<(Source, &Statement)> =
             order.iter().filter_map(|s| Some((*s, self.tables[*s as usize].statements.get(id)?))).collect();
         // Rule 1.
-        let newest = statements.iter().map(|(_, s)| s.member.started).max()?;
+        let is_outdated = |s: &Statement| statements.iter().any(|(_, other)| s.is_outdated_by(other));
         let mut statements: Vec<(Source, &Statement)> =
-            statements.into_iter().filter(|(_, s)| s.member.started == newest).collect();
+            statements.iter().copied().filter(|(_, s)| !is_outdated(s)).collect();
         // Rule 5.
         let live_versions =
             statements.iter().filter(|(source, s)| !self.is_lost(*source) && s.shared).map(|(_, s)| s.listed);
--- a/crates/core/endpoints/src/merge/source_table.rs
+++ b/crates/core/endpoints/src/merge/source_table.rs
@@ -2,6 +2,7 @@
 
 use super::SourcedEndpoint;
 use crate::{Endpoint, EndpointState, Imposed, MonotonicTime, Nanos};
+use std::cmp::Ordering;
 use std::collections::{BTreeSet, HashMap};
 
 /// The statement of one source about one endpoint.
@@ -55,6 +56,14 @@
     }
 }
 
+impl Statement {
+    /// Whether another statement is about a newer incarnation of the endpoint.
+    pub(super) fn is_outdated_by(&self, other: &Statement) -> bool {
+        let is_from_later_list = self.shared && other.shared && self.listed > other.listed;
+        self.member.started < other.member.started && !is_from_later_list
+    }
+}
+
 impl SourceTable {
     /// Records a new statement, which either replaces the old one or stays unconfirmed.
     pub(super) fn record(&mut self, new: SourcedEndpoint, now: MonotonicTime, hold: Nanos) {
@@ -65,10 +74,11 @@
         };
         let is_continuous = old.view_number == view_number;
         let is_newer = new.list_version > old.listed && old.listed > 0;
-        let is_accepted = if new.member.started == old.member.started {
-            new.member.state >= old.member.state || is_newer || is_continuous
-        } else {
-            new.member.started > old.member.started || is_newer && is_continuous
+        // Danger: starts come from the clocks of nodes' machines, which may be stepped back. A restriction is not refused by their order.
+        let is_accepted = match new.member.started.cmp(&old.member.started) {
+            Ordering::Equal => new.member.state >= old.member.state || is_newer || is_continuous,
+            Ordering::Greater => true,
+            Ordering::Less => new.member.state > old.member.state || is_newer && is_continuous,
         };
         if is_accepted || now.since(old.stated_at) >= hold {
             let is_same_state =
--- a/crates/core/endpoints/tests/endpoint_merger.rs
+++ b/crates/core/endpoints/tests/endpoint_merger.rs
@@ -455,3 +455,42 @@
         }
     }
 }
+
+/// Guards against a node whose new process states a smaller start, after its clock was stepped back, and whose drains and removals are ignored
+/// while a source still knows the process before.
+#[test]
+fn a_later_list_holds_although_it_states_a_smaller_start() {
+    for (restricted, expected) in [(Draining, Some(Draining)), (Gone, None)] {
+        let mut m = both_sources();
+        m.apply_list(Source::Discovery, &list(41, false, &[node("a", Ready, 3)]), at(1));
+        assert_eq!(state(&m, "a"), Some(Ready));
+        m.apply_list(Source::Discovery, &list(42, false, &[node("a", restricted, 3)]), at(2));
+        assert_eq!(state(&m, "a"), expected);
+        // Told by the control service alone, also by one that has restarted since.
+        for process in ["c1", "c2"] {
+            let mut m = both_sources();
+            let event = WatchEvent::Changed(vec![sourced(node("a", restricted, 3), 42)], vec![]);
+            m.apply_control_event(process, event, at(2));
+            assert_eq!(state(&m, "a"), expected, "{process}");
+        }
+    }
+}
+
+/// A list that is not later says nothing against a newer process.
+#[test]
+fn an_earlier_list_with_a_smaller_start_restricts_nothing() {
+    let mut m = both_sources();
+    m.apply_list(Source::Discovery, &list(41, false, &[node("a", Ready, 9)]), at(1));
+    let stale = WatchEvent::Changed(vec![sourced(node("a", Draining, 7), 40)], vec![]);
+    m.apply_control_event("c2", stale, at(2));
+    assert_eq!(state(&m, "a"), Some(Ready));
+}
+
+/// Guards against restrictions of the configured list that hold although discovery's changes have withdrawn them.
+#[test]
+fn discoverys_changes_replace_what_the_configured_list_says() {
+    let mut m = merger();
+    m.apply_list(Source::Configured, &list(40, true, &[node("a", Draining, 7), node("b", Ready, 7)]), at(0));
+    m.apply_list(Source::Discovery, &list(41, false, &[node("a", Ready, 3), node("b", Draining, 3)]), at(1));
+    assert_eq!((state(&m, "a"), state(&m, "b")), (Some(Ready), Some(Draining)));
+}
--- a/tests/stepped_clocks.rs
+++ b/tests/stepped_clocks.rs
@@ -188,3 +188,28 @@
         assert_served_by(&successor, &["c1", "c2", "c3"], &case);
     }
 }
+
+/// Guards against drains and removals of a node that has started anew on a clock that was stepped back, and that are not followed since the
+/// control service still tells its process before.
+#[test]
+fn what_discovery_says_of_a_node_whose_clock_was_stepped_back_holds() {
+    let play = Play::new(Some(WARM_SINCE_S), Some(0));
+    let proxy = play.proxy(0);
+    assert_served_by(&proxy, &["c1", "c2", "c3"], "before");
+    let begun_anew = |id: &str, state: &str| {
+        let mut entry = play.entry(id, state);
+        let started_ms = entry["started_ms"].as_u64().expect("a time");
+        entry["started_ms"] = json!(started_ms - LONG_SINCE_S * 1000);
+        entry
+    };
+    play.discovery.put(begun_anew("c1", "ready"));
+    play.discovery.put(begun_anew("c2", "ready"));
+    play.discovery.until_further_calls(2);
+    assert_served_by(&proxy, &["c1", "c2", "c3"], "begun anew");
+    play.discovery.put(begun_anew("c1", "draining"));
+    std::thread::sleep(HEARD);
+    assert_served_by(&proxy, &["c2", "c3"], "a drain");
+    play.discovery.put(begun_anew("c2", "gone"));
+    std::thread::sleep(HEARD);
+    assert_served_by(&proxy, &["c3"], "a removal");
+}
