Apply an override as soon as it is set, whatever a later leader's clock says

Callers saw: a node that an operator had taken out of service got its full part of the requests again after the control service had restarted, or another instance led, on a clock that is behind the one by which the override was set.

Cause: an override counted from the Unix time at which it was set, and that lay in the future for the later leader and so for its proxies. It took hold again only once that clock had caught up, an hour for an hour.

Change: an override has begun once it is set; only its end is compared with a clock. Of two overrides of one scope the one with the higher number is the later one.

--- a/crates/core/endpoints/src/imposed.rs
+++ b/crates/core/endpoints/src/imposed.rs
@@ -34,9 +34,10 @@
 }
 
 impl Imposed {
-    /// Whether it is out of service at `now`.
+    /// Whether it is out of service at `now`: until the end, whenever that time began. Danger: by a clock that is behind that of the
+    /// leader that took it out, it may begin in the future.
     pub fn is_out(&self, now: OverrideTime) -> bool {
-        (self.out.0..self.out.1).contains(&now.unix_nanos())
+        now.unix_nanos() < self.out.1
     }
 
     /// The weight factor at `now`.
--- a/crates/core/overrides/src/effective.rs
+++ b/crates/core/overrides/src/effective.rs
@@ -15,7 +15,7 @@
 /// Returns the numbers of the masked pins, each with the number of the pin that masks it. Of pins with the same keys and class on different
 /// endpoints, only the one set last is in force.
 pub fn masked_pins<'a>(overrides: impl Iterator<Item = &'a Override> + Clone, now: Nanos) -> Vec<(u64, u64)> {
-    let live = || overrides.clone().filter(|o| o.since <= now && o.until > now);
+    let live = || overrides.clone().filter(|o| o.until > now);
     let is_pin = |o: &&Override| matches!(o.effect, Effect::Pinned { .. });
     let masked_by = |o: &Override| {
         let same_pins =
@@ -26,15 +26,16 @@
 }
 
 /// Returns the combined effect on an endpoint of the overrides that apply to it at `now`, and the status of each of them with its number.
+///
+/// An override applies as soon as it is set. Danger: by the clock of a later leader, which may be behind, it may begin in the future.
 pub fn effective_overrides<'a>(
     overrides: impl Iterator<Item = &'a Override>,
     node: &Node<'_>,
     now: Nanos,
 ) -> (Imposed, Vec<(u64, OverrideStatus)>) {
-    let mut applying: Vec<&Override> =
-        overrides.filter(|o| o.since <= now && o.until > now && o.scope.covers(node)).collect();
+    let mut applying: Vec<&Override> = overrides.filter(|o| o.until > now && o.scope.covers(node)).collect();
     // The narrowest scope first, and within one scope the latest override first.
-    applying.sort_by_key(|o| std::cmp::Reverse((o.scope.rank(), o.since, o.id)));
+    applying.sort_by_key(|o| std::cmp::Reverse((o.scope.rank(), o.id)));
     let outs = || applying.iter().filter(|o| o.effect == Effect::Out);
     let mut imposed = Imposed::default();
     if let Some(last) = outs().max_by_key(|o| (o.until, o.id)) {
--- a/crates/core/overrides/tests/override_set.rs
+++ b/crates/core/overrides/tests/override_set.rs
@@ -2,8 +2,8 @@
 
 use proptest::prelude::*;
 use rushquay_overrides::{
-    effective_overrides, Effect, EventKind, FleetCapacity, Node, Override, OverrideError, OverrideLimits,
-    OverrideRequest, OverrideSet, OverrideStatus, OverrideTime, Scope, SECOND,
+    effective_overrides, masked_pins, Effect, EventKind, FleetCapacity, Node, Override, OverrideError,
+    OverrideLimits, OverrideRequest, OverrideSet, OverrideStatus, OverrideTime, Scope, SECOND,
 };
 
 const NODE: Node<'_> = Node { id: "cache-07", kind: "std-1c", zone: "vadodara" };
@@ -80,6 +80,19 @@
     }
 }
 
+/// Guards against an override that a later leader, whose clock is behind, takes for one that has not begun.
+#[test]
+fn an_override_applies_on_a_clock_that_is_behind() {
+    let out = make_override(1, node(), Effect::Out, 3600, 5400);
+    let pin = Effect::Pinned { class: None, keys: Some("7f*".into()) };
+    let pins = [make_override(2, node(), pin.clone(), 3600, 5400), make_override(3, kind(), pin, 3600, 5400)];
+    for now_s in [10, 3600, 5399, 5400] {
+        let (imposed, _) = effective_overrides([out.clone()].iter(), &NODE, now_s * SECOND);
+        assert_eq!(imposed.is_out(OverrideTime::from_unix_nanos(now_s * SECOND)), now_s < 5400, "{now_s}");
+        assert_eq!(masked_pins(pins.iter(), now_s * SECOND).len(), usize::from(now_s < 5400), "{now_s}");
+    }
+}
+
 fn fleet(weights: &[f64]) -> Vec<FleetCapacity> {
     let one = |(i, weight): (usize, &f64)| FleetCapacity {
         id: format!("cache-{i:02}"),
--- a/tests/control/clock_steps.rs
+++ b/tests/control/clock_steps.rs
@@ -74,7 +74,17 @@
 /// Guards against a restart on a clock that is ahead ending an override that has half an hour left.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_override_outlives_a_restart_on_a_clock_that_is_ahead() {
-    let file = File::new("clock-steps");
+    an_override_outlives_a_restart(FAR_AHEAD_S).await;
+}
+
+/// Guards against an override that counts as not begun behind a restart on a clock that is behind.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_override_outlives_a_restart_on_a_clock_that_is_behind() {
+    an_override_outlives_a_restart(-FAR_AHEAD_S).await;
+}
+
+async fn an_override_outlives_a_restart(ahead_s: i64) {
+    let file = File::new(&format!("clock-steps-{ahead_s}"));
     let state = || Some(file.0.clone());
     let mut rig = Rig::start(async |discovery| control_that_keeps(discovery, 0, state()).await).await;
     rig.behind.down(true);
@@ -87,8 +97,8 @@
     nowhere.down(true);
     let without_list = control(nowhere.addr).await;
     rig.replace(without_list).await;
-    let ahead = control_that_keeps(rig.discovery.addr, FAR_AHEAD_S, state()).await;
-    rig.replace(ahead).await;
+    let restarted = control_that_keeps(rig.discovery.addr, ahead_s, state()).await;
+    rig.replace(restarted).await;
     all_taken(&rig.service, 2).await;
     tokio::time::sleep(TICKS).await;
     rig.only(&["a", "c"]).await;
