Soak with a wrong wall clock for each process, and nodes that tell when they started

Need: the soak stepped one proxy in four, and its nodes told no start, so that this kind of fault could not show in it.

Change: a play in which every process gets a wall clock of its own from each start on (up to 25 h ahead, 2 h behind, also within the 30 s that count as agreement, with steps there and back while it runs), and lists tell starts. The shim has ahead=S for that. The other plays and their seeds are as they were. Allowances that are handed over are translated in one place.

--- a/crates/testing/fleet-harness/src/fleet.rs
+++ b/crates/testing/fleet-harness/src/fleet.rs
@@ -14,7 +14,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, LazyLock, OnceLock};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Data centres that have proxies.
@@ -49,6 +49,8 @@
     pub etcd: Option<String>,
     /// What classes give a request at most.
     pub deadline: Duration,
+    /// How long ago the nodes' processes started; `None`: the list does not tell when.
+    pub node_age: Option<Duration>,
 }
 
 impl Shape {
@@ -68,6 +70,7 @@
             policy: None,
             etcd: None,
             deadline: Duration::from_secs(10),
+            node_age: None,
         }
     }
 }
@@ -137,6 +140,13 @@
     _place: OwnedSemaphorePermit,
 }
 
+/// The Unix time so long ago, in milliseconds.
+fn started_ms(age: Duration) -> u64 {
+    #[expect(clippy::disallowed_methods, reason = "the list tells when nodes started as Unix times")]
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    now.saturating_sub(age).as_millis() as u64
+}
+
 fn write(path: &Path, text: &str) {
     std::fs::write(path, text).expect("written");
 }
@@ -148,7 +158,7 @@
     }
 
     /// The same; what differs from the shape is put right before the first control service and proxy start.
-    pub async fn start_with(shape: Shape, differ: impl Fn(&mut Fleet)) -> Fleet {
+    pub async fn start_with(shape: Shape, differ: impl FnOnce(&mut Fleet)) -> Fleet {
         // Danger: with more fleets at once than the machine bears, old and new wait for cores and nothing can be told of either.
         static PLACES: LazyLock<Arc<Semaphore>> = LazyLock::new(|| {
             let cores = std::thread::available_parallelism().map_or(2, |n| n.get());
@@ -169,11 +179,12 @@
         }
         nodes.push((ZONES[0], Node::start("origin", shape.work).await));
         let relay = relay(&shape, &nodes).await;
+        let started_ms = shape.node_age.map_or(0, started_ms);
         let entries: Vec<Value> = nodes
             .iter()
             .map(|(zone, node)| {
                 let kind = if node.id == "origin" { "origin" } else { "std-1c" };
-                let mut entry = entry(node, zone, kind, "ready", 0);
+                let mut entry = entry(node, zone, kind, "ready", started_ms);
                 entry["addr"] = json!(at(&relay, &format!("node:{}", node.id)).to_string());
                 entry
             })
--- a/src/proxy/discovery/node_starts.rs
+++ b/src/proxy/discovery/node_starts.rs
@@ -1,6 +1,7 @@
 //! When nodes started by the clock of this process, from the lists, from the clocks of others, and from what a predecessor knew.
 
 use crate::api::{server_id, Incarnation, Nanos, ServerId};
+use crate::proxy::process::slow_start::read_incarnation;
 use rushquay_admin::ClockOffsets;
 use rushquay_control_service::monotonic_nanos;
 use rushquay_endpoints::{Endpoint, EndpointList, EndpointView, OverrideTime, StartTimes};
@@ -44,10 +45,7 @@
         let process_now = clock.process_at(monotonic);
         for allowance in cold {
             let Some(incarnation) = allowance.incarnation else { continue };
-            let incarnation = Incarnation {
-                started_ms: incarnation.started_ms,
-                cold_return_ms: incarnation.cold_return_ms,
-            };
+            let incarnation = read_incarnation(incarnation);
             let age = process_now.saturating_sub(allowance.started);
             starts.inherited.insert(allowance.node, (incarnation, now.saturating_sub(age)));
         }
--- a/src/proxy/discovery/node_starts/tests.rs
+++ b/src/proxy/discovery/node_starts/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
+use crate::proxy::process::slow_start::offered_incarnation;
 use rushquay_endpoints::{EndpointState, StatedStart};
-use rushquay_handover::EndpointIncarnation;
 
 const HOUR: Nanos = 3600 * SECOND;
 /// The present by discovery's clock, as Unix time.
@@ -57,12 +57,11 @@
     old.record_list(std::slice::from_ref(&back), NOW + 60 * SECOND);
     let seen = old.listed(&back, NOW + 64 * SECOND);
     assert_eq!(seen.started_at, NOW + 60 * SECOND);
-    let Incarnation { started_ms, cold_return_ms } = seen.incarnation;
     let allowance = SlowStartAllowance {
         node: server_id("back"),
         started: seen.started_at,
         left: 1.0,
-        incarnation: Some(EndpointIncarnation { started_ms, cold_return_ms }),
+        incarnation: Some(offered_incarnation(seen.incarnation)),
     };
     let clock = old.clock_handover(NOW + 64 * SECOND);
     let mut new = NodeStarts::inherited(Some(&clock), &[allowance], NOW + HOUR);
--- a/src/proxy/process/mod.rs
+++ b/src/proxy/process/mod.rs
@@ -3,5 +3,6 @@
 pub(crate) mod handover;
 pub(crate) mod shared_claims;
 pub mod signals;
+pub(crate) mod slow_start;
 pub(crate) mod startup;
 pub mod supervised;
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -1,6 +1,5 @@
 //! The proxy process: starts its components, reports readiness, and hands its state over to a successor.
 
-use crate::api::{ColdEndpointAllowance, Incarnation};
 use crate::proxy::clock::Clock;
 use crate::proxy::config::active_config::ActiveConfig;
 use crate::proxy::config::layers::ConfigLayers;
@@ -26,6 +25,7 @@
 use crate::proxy::process::handover::{self, HandoverServer, ListenerOwner};
 use crate::proxy::process::shared_claims;
 use crate::proxy::process::signals::SignalFlag;
+use crate::proxy::process::slow_start;
 use crate::proxy::process::startup::{Inherited, StartupPlan, TakeOver};
 use crate::proxy::process::supervised::Supervised;
 use crate::proxy::tasks::{record_panic, BackgroundTask, BackgroundTasks, TaskPanic};
@@ -34,7 +34,7 @@
 use crate::proxy::upstream::Upstreams;
 use rushquay_admin::{RequestMetrics, ServingState};
 use rushquay_endpoints::WatchMode;
-use rushquay_handover::{EndpointIncarnation, HandoverState, Incumbent, ResourceShare, SlowStartAllowance};
+use rushquay_handover::{HandoverState, Incumbent, ResourceShare};
 use rushquay_invariants::{may_serve, NotReady, ServeFacts};
 use rushquay_lease::Epoch;
 use rushquay_xds::client::Outage;
@@ -129,7 +129,7 @@
     };
     // Danger: a caller that receives the address assumes that the process has started, so nothing that may fail at startup may follow.
     on_listening(bound);
-    front.inherit_slow_start_allowances(&inherited.cold.iter().map(read_allowance).collect::<Vec<_>>());
+    front.inherit_slow_start_allowances(&inherited.cold.iter().map(slow_start::read).collect::<Vec<_>>());
     tasks.spawn(BackgroundTask::PauseDetection, pause_detection::detect_pauses());
     tasks.spawn(BackgroundTask::IdleSweep, sweep_idle_connections(front.clone()));
     // The incumbent's configuration applies before the control service can be reached.
@@ -197,30 +197,6 @@
     tasks.result()
 }
 
-/// Reads a slow-start allowance that the predecessor offers.
-fn read_allowance(offered: &SlowStartAllowance) -> ColdEndpointAllowance {
-    ColdEndpointAllowance {
-        server: offered.node,
-        started_at: offered.started,
-        incarnation: offered
-            .incarnation
-            .map(|i| Incarnation { started_ms: i.started_ms, cold_return_ms: i.cold_return_ms }),
-        remaining_requests: offered.left,
-    }
-}
-
-/// The form in which a slow-start allowance is offered to a successor.
-fn offered_allowance(left: &ColdEndpointAllowance) -> SlowStartAllowance {
-    SlowStartAllowance {
-        node: left.server,
-        started: left.started_at,
-        left: left.remaining_requests,
-        incarnation: left
-            .incarnation
-            .map(|i| EndpointIncarnation { started_ms: i.started_ms, cold_return_ms: i.cold_return_ms }),
-    }
-}
-
 /// Returns the number of descriptors outside the budget for connections.
 fn reserved_descriptors(config: &Config, has_operators: bool, has_handover: bool) -> usize {
     OWN_DESCRIPTORS
@@ -265,7 +241,7 @@
         // Danger: the successor reads it as soon as it has the offer.
         self.request_ids.share();
         let settings = self.rollout.as_ref().and_then(|r| r.assignment_text());
-        let cold = self.backend.release_slow_start_allowances().iter().map(offered_allowance).collect();
+        let cold = self.backend.release_slow_start_allowances().iter().map(slow_start::offered).collect();
         let policy = self.policy.as_ref().map(|p| p.handover().text());
         let control = self.backend.control_handover();
         let list = self.backend.endpoint_list();
--- a/tests/shim/faults.c
+++ b/tests/shim/faults.c
@@ -6,7 +6,8 @@
  *                  recv, send, poll, sync, write, proc (what the machine says of its processes is opened), open (another file is opened to be
  *                  read); KIND is an errno by name, or `short` (recv, send: one byte at most is
  *                  moved). `seed=N` sets the seed of the draws, `step=S/P` steps the wall clock by S seconds, forward and back
- *                  in turn, every P seconds; `jump=S` has the wall clock S seconds ahead for as long as faults are injected.
+ *                  in turn, every P seconds; `jump=S` has the wall clock S seconds ahead for as long as faults are injected; `ahead=S`
+ *                  has it S seconds ahead (below 0: behind) as long as the process runs.
  * RUSHQUAY_FAULTS_WHEN  a file: faults are injected only while it exists (looked at every 5 ms). Without: always.
  * RUSHQUAY_FAULTS_LOG   a file: each fault is appended as a line "seconds call kind".
  *
@@ -60,7 +61,7 @@
 
 static struct rule rules[RULES_MOST];
 static int rule_count;
-static double step_seconds, step_period, jump_seconds;
+static double step_seconds, step_period, jump_seconds, ahead_seconds;
 static const char *when_file;
 static int log_fd = -1;
 static uint64_t random_state = 1;
@@ -115,6 +116,8 @@
             sscanf(part + 5, "%lf/%lf", &step_seconds, &step_period);
         else if (strncmp(part, "jump=", 5) == 0)
             jump_seconds = atof(part + 5);
+        else if (strncmp(part, "ahead=", 6) == 0)
+            ahead_seconds = atof(part + 6);
         else
             add_rule(part);
     }
@@ -319,11 +322,11 @@
 }
 
 static double step_now(void) {
-    double jump = 0;
+    double jump = ahead_seconds;
     if (jump_seconds != 0) {
         int saved = errno;
         pthread_mutex_lock(&lock);
-        jump = is_on() ? jump_seconds : 0;
+        jump += is_on() ? jump_seconds : 0;
         pthread_mutex_unlock(&lock);
         errno = saved;
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -39,9 +39,33 @@
     Shape { proxies, controls: CONTROLS, deadline: WITHIN, ..Shape::new(&program(), seed) }
 }
 
+/// The wall clocks of a play.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum WallClocks {
+    /// Right but for those that are stepped among other troubles; nodes do not tell when they started.
+    Mostly,
+    /// Each process has its own from each start on, wrong or stepped again and again; nodes tell when they started.
+    Own,
+}
+
+/// What the clocks of a play are drawn from, apart from its troubles.
+const CLOCK_STREAM: u64 = 0xc10c;
+/// How long ago the nodes have started, where they tell.
+const NODE_AGE: Duration = Duration::from_secs(7_200);
+
 async fn soak(seed: u64, rounds: u64, how: Ending) {
+    soak_with(seed, rounds, how, WallClocks::Mostly).await;
+}
+
+async fn soak_with(seed: u64, rounds: u64, how: Ending, wall_clocks: WallClocks) {
     let mut random = Pcg64Mcg::seed_from_u64(seed);
-    let mut fleet = Fleet::start_with(shape(seed), |fleet| troubles::preload(fleet, seed)).await;
+    let mut clocks = Pcg64Mcg::seed_from_u64(seed ^ CLOCK_STREAM);
+    let node_age = (wall_clocks == WallClocks::Own).then_some(NODE_AGE);
+    let mut preload = |fleet: &mut Fleet| match wall_clocks {
+        WallClocks::Mostly => troubles::preload(fleet, seed),
+        WallClocks::Own => troubles::preload_clocks(fleet, seed, &mut clocks),
+    };
+    let mut fleet = Fleet::start_with(Shape { node_age, ..shape(seed) }, &mut preload).await;
     let clients: Vec<StrictClients> = fleet
         .proxies
         .iter()
@@ -57,6 +81,8 @@
         for _ in 0..random.random_range(2..=told("RUSHQUAY_TROUBLES", 3)) {
             troubles.begin(&mut fleet, &mut random).await;
         }
+        // Who starts from here on has another clock.
+        preload(&mut fleet);
         let time = Duration::from_millis(random.random_range(400..1800));
         troubles.pass(&mut fleet, time).await;
         judge::somebody_leads(&fleet).await;
@@ -78,24 +104,30 @@
 /// Plays share the file while which calls fail, and the machine.
 static ONE_AT_A_TIME: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
 
-async fn soak_seeds(first: u64, how: Ending) {
+async fn soak_seeds(first: u64, how: Ending, wall_clocks: WallClocks) {
     let _alone = ONE_AT_A_TIME.lock().await;
     let (first, rounds) = (told("RUSHQUAY_SEED", first), told("RUSHQUAY_SOAK", 8));
     for seed in first..first + told("RUSHQUAY_SEEDS", 1) {
-        soak(seed, rounds, how).await;
+        soak_with(seed, rounds, how, wall_clocks).await;
     }
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn no_promise_is_broken_under_troubles_that_overlap() {
-    soak_seeds(3901, Ending::Awaited).await;
+    soak_seeds(3901, Ending::Awaited, WallClocks::Mostly).await;
 }
 
 /// Guards against a stop that needs longer than a process is given: clients use open connections until it is killed, and signals come in
 /// series.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn no_promise_is_broken_where_processes_are_killed_as_soon_as_they_may_be() {
-    soak_seeds(4802, Ending::Killed).await;
+    soak_seeds(4802, Ending::Killed, WallClocks::Mostly).await;
+}
+
+/// Guards against drains that are not followed, and promises that are broken, where the wall clock of each process is wrong in its own way.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn no_promise_is_broken_where_wall_clocks_are_wrong() {
+    soak_seeds(7501, Ending::Killed, WallClocks::Own).await;
 }
 
 /// Guards against an attempt that tells its node of more time than its client has, behind a stand-still of the process.
--- a/tests/soak/troubles.rs
+++ b/tests/soak/troubles.rs
@@ -35,17 +35,38 @@
     std::env::temp_dir().join(format!("rushquay-soak-{}", std::process::id()))
 }
 
+/// How far the wall clock of a process may be ahead at its start, in seconds, and the steps that it may take while the process runs: by so
+/// many seconds, there and back, every so many.
+const CLOCKS_AHEAD_S: [i64; 9] = [0, 20, -20, 60, -60, 3_600, -3_600, 90_000, -7_400];
+const CLOCK_STEPS: [&str; 4] = ["", ";step=3600/2", ";step=-3600/3", ";step=20/1"];
+
 /// Most processes get the library of faults, each with a part of them.
 pub fn preload(fleet: &mut Fleet, seed: u64) {
-    let rules = [INTERRUPTED, SHORT_OF, CLOCK];
+    preload_with(fleet, seed, || None);
+}
+
+/// The same, and every process gets a wall clock of its own from its next start on.
+pub fn preload_clocks(fleet: &mut Fleet, seed: u64, random: &mut Pcg64Mcg) {
+    preload_with(fleet, seed, || {
+        let ahead_s = CLOCKS_AHEAD_S[random.random_range(0..CLOCKS_AHEAD_S.len())];
+        let step = CLOCK_STEPS[random.random_range(0..CLOCK_STEPS.len())];
+        Some(format!("ahead={ahead_s}{step}"))
+    });
+}
+
+fn preload_with(fleet: &mut Fleet, seed: u64, mut clock: impl FnMut() -> Option<String>) {
+    let rules = [Some(INTERRUPTED), Some(SHORT_OF), Some(CLOCK), None];
     let program = PathBuf::from(crate::program());
-    for (n, proxy) in fleet.proxies.iter_mut().enumerate().filter(|(n, _)| n % 4 != 3) {
-        let faults = Faults::new(seed + n as u64, rules[n % 4]).while_exists(&switch());
-        proxy.other = Some((program.clone(), faults.variables()));
+    let mut faults = |seed: u64, rules: Option<&str>| {
+        let rules: Vec<String> = rules.map(str::to_owned).into_iter().chain(clock()).collect();
+        let faults = Faults::new(seed, &rules.join(";")).while_exists(&switch());
+        (!rules.is_empty()).then(|| (program.clone(), faults.variables()))
+    };
+    for (n, proxy) in fleet.proxies.iter_mut().enumerate() {
+        proxy.other = faults(seed + n as u64, rules[n % 4]);
     }
     for (n, control) in fleet.controls.iter_mut().enumerate() {
-        let faults = Faults::new(seed + 100 + n as u64, INTERRUPTED).while_exists(&switch());
-        control.other = Some((program.clone(), faults.variables()));
+        control.other = faults(seed + 100 + n as u64, Some(INTERRUPTED));
     }
 }
 
