Keep the age of listed nodes while others come and go; inherit the control clock

Cause: beyond 20,000 remembered starts all were forgotten, and the nodes that were listed all the time counted as just started. A successor took the time of a return from an override by its own clock until the control service was heard.

Change: beyond that number only nodes that are no longer listed are forgotten. The inherited clock of the control service serves for returns too.

--- a/crates/core/endpoints/src/start_times.rs
+++ b/crates/core/endpoints/src/start_times.rs
@@ -7,9 +7,9 @@
 //! Danger: an endpoint with a cold cache that counts as warm is overloaded, while a warm one that counts as cold only gets less load until
 //! its slow start is over. So among the clocks that the starts themselves do not contradict, the one by which endpoints are youngest counts.
 
-use crate::{Endpoint, Nanos, StatedStart};
+use crate::{Endpoint, EndpointList, EndpointState, Nanos, StatedStart};
 use rushquay_lease::Skew;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 const SECOND: Nanos = 1_000_000_000;
 /// Bound on the error of a dated response: dates are whole seconds, and a response takes time to arrive.
@@ -20,7 +20,8 @@
 /// seconds late.
 const MAX_START_DELAY: Nanos = 30 * SECOND;
 
-/// Maximum number of endpoints remembered that are no longer listed, as their ids change without bound over the life of the process.
+/// Beyond this number of endpoints those that are no longer listed are forgotten, as ids change without bound over the life of the
+/// process.
 const MAX_REMEMBERED: usize = 20_000;
 
 /// What this process has seen of a start, by its own clock.
@@ -31,6 +32,8 @@
     first_seen_at: Nanos,
     /// It cannot have started earlier, or an earlier list would have had it.
     earliest: Nanos,
+    /// Whether discovery lists the endpoint.
+    is_listed: bool,
 }
 
 impl Sighting {
@@ -117,13 +120,20 @@
     }
 
     /// Records the starts of a list of discovery, whole or incremental.
-    pub fn record_list(&mut self, endpoints: &[Endpoint], now: Nanos) {
+    pub fn record_list(&mut self, list: &EndpointList, now: Nanos) {
+        if list.full {
+            self.sightings.values_mut().for_each(|sighting| sighting.is_listed = false);
+        }
         let earliest = self.last_list_at.map_or(0, |at| at.saturating_sub(MAX_START_DELAY));
-        endpoints.iter().for_each(|endpoint| self.record_since(endpoint, earliest, now));
+        for endpoint in &list.servers {
+            self.record_since(endpoint, earliest, now);
+            if let Some(sighting) = self.sightings.get_mut(&endpoint.id) {
+                sighting.is_listed = endpoint.state != EndpointState::Gone;
+            }
+        }
         self.last_list_at = Some(now);
-        if self.sightings.len() > MAX_REMEMBERED.saturating_add(endpoints.len()) {
-            let listed: HashSet<&str> = endpoints.iter().map(|endpoint| endpoint.id.as_str()).collect();
-            self.sightings.retain(|id, _| listed.contains(id.as_str()));
+        if self.sightings.len() > MAX_REMEMBERED {
+            self.sightings.retain(|_, sighting| sighting.is_listed);
         }
     }
 
@@ -138,7 +148,8 @@
         if is_known || !stated.is_known() {
             return;
         }
-        self.sightings.insert(endpoint.id.clone(), Sighting { stated, first_seen_at: now, earliest });
+        self.sightings
+            .insert(endpoint.id.clone(), Sighting { stated, first_seen_at: now, earliest, is_listed: false });
         self.is_stale = true;
     }
 
--- a/crates/core/endpoints/tests/start_times.rs
+++ b/crates/core/endpoints/tests/start_times.rs
@@ -1,28 +1,28 @@
 //! Converting start times in a process whose wall clock was wrong at startup.
 
 use proptest::prelude::*;
-use rushquay_endpoints::{Endpoint, EndpointList, Nanos, StartClock, StartTimes};
+use rushquay_endpoints::{EndpointList, EndpointState, Nanos, StartClock, StartTimes};
 
 const SECOND: Nanos = 1_000_000_000;
 const HOUR: i64 = 3600 * SECOND as i64;
 /// The present by discovery's clock, as Unix time.
 const NOW: Nanos = 1_800_000_000 * SECOND;
 
-fn endpoints(starts: &[(&str, Nanos)]) -> Vec<Endpoint> {
+fn list(starts: &[(&str, Nanos)]) -> EndpointList {
     let endpoint = |(id, started): &(&str, Nanos)| {
         format!(r#"{{"id":"{id}","state":"ready","started_ms":{}}}"#, started / 1_000_000)
     };
     let servers: Vec<String> = starts.iter().map(endpoint).collect();
-    let text = format!(r#"{{"version":1,"full":true,"servers":[{}]}}"#, servers.join(","));
-    serde_json::from_str::<EndpointList>(&text).expect("a list").servers
+    let text = format!(r#"{{"version":1,"full":false,"servers":[{}]}}"#, servers.join(","));
+    serde_json::from_str(&text).expect("a list")
 }
 
 /// The uptimes of endpoints by the clock of the process, which is told of this list.
 fn ages(starts: &mut StartTimes, list: &[(&str, Nanos)], local_now: Nanos) -> Vec<Nanos> {
-    let list = endpoints(list);
+    let list = self::list(list);
     starts.record_list(&list, local_now);
     starts.update_offset();
-    list.iter().map(|endpoint| local_now - starts.local_start(endpoint, local_now)).collect()
+    list.servers.iter().map(|endpoint| local_now - starts.local_start(endpoint, local_now)).collect()
 }
 
 /// The uptime of one endpoint.
@@ -65,7 +65,7 @@
     for step in [HOUR, -HOUR] {
         let local = |t: Nanos| t.saturating_add_signed(step);
         let mut starts = StartTimes::default();
-        starts.record_list(&endpoints(&[("old", 0)]), local(NOW));
+        starts.record_list(&list(&[("old", 0)]), local(NOW));
         let first_seen_at = NOW + 60 * SECOND;
         // It started two seconds ago, but counts as just started: a wrong clock makes endpoints seem colder, never warmer.
         assert_eq!(age(&mut starts, "new", first_seen_at - 2 * SECOND, local(first_seen_at)), 0);
@@ -86,7 +86,7 @@
 #[test]
 fn one_implausible_start_does_not_affect_other_endpoints() {
     let mut starts = StartTimes::default();
-    starts.record_list(&endpoints(&[("old", 0)]), NOW);
+    starts.record_list(&list(&[("old", 0)]), NOW);
     assert_eq!(age(&mut starts, "back", NOW - 3000 * SECOND, NOW + SECOND), 0);
     assert_eq!(starts.ahead(), 0);
     assert_eq!(age(&mut starts, "new", NOW, NOW + 2 * SECOND), 2 * SECOND);
@@ -140,6 +140,22 @@
     }
 }
 
+/// Guards against endpoints that are listed all the time and count as just started once many others have come and gone.
+#[test]
+fn endpoints_that_stay_listed_keep_their_age_while_others_come_and_go() {
+    let mut starts = StartTimes::default();
+    let warm = ("warm", NOW - 3000 * SECOND);
+    assert_eq!(ages(&mut starts, &[warm], NOW), [3000 * SECOND]);
+    for n in 0..25_000 {
+        let now = NOW + n * SECOND;
+        let mut came = list(&[(&format!("n{n}"), now)]);
+        starts.record_list(&came, now);
+        came.servers[0].state = EndpointState::Gone;
+        starts.record_list(&came, now);
+    }
+    assert_eq!(ages(&mut starts, &[warm], NOW + 25_000 * SECOND), [28_000 * SECOND]);
+}
+
 proptest! {
     /// Guards against cold endpoints that count as warm: with dated responses, whatever this process's clock says, none counts as older
     /// than it is by more than what dates leave open.
--- a/src/proxy/discovery/endpoint_list.rs
+++ b/src/proxy/discovery/endpoint_list.rs
@@ -109,7 +109,7 @@
     /// Handles the complete list from discovery, or changes to it.
     pub fn on_discovery_list(&self, list: &EndpointList) {
         self.discovered.borrow_mut().apply(list);
-        let has_changed = self.starts.borrow_mut().record_list(&list.servers, self.engine.now());
+        let has_changed = self.starts.borrow_mut().record_list(list, self.engine.now());
         let Some(merger) = &self.merger else {
             let kind = if list.full { ListKind::Full } else { ListKind::Delta };
             let listed = self.listed(&list.servers);
@@ -209,6 +209,7 @@
         let mut skew = self.skew.get();
         skew.add_measurement(ahead, given.clock.error_nanos.unwrap_or(UNMEASURED_ERROR), monotonic);
         self.skew.set(skew);
+        self.starts.borrow_mut().inherit_control_clock(skew);
         self.update_merge(|merger, now| merger.inherit_control(given.view, now));
     }
 
--- a/src/proxy/discovery/node_starts.rs
+++ b/src/proxy/discovery/node_starts.rs
@@ -70,8 +70,8 @@
     }
 
     /// Records a list of discovery. Returns whether nodes that were listed before have to be listed anew.
-    pub fn record_list(&mut self, endpoints: &[Endpoint], now: Nanos) -> bool {
-        self.times.record_list(endpoints, now);
+    pub fn record_list(&mut self, list: &EndpointList, now: Nanos) -> bool {
+        self.times.record_list(list, now);
         self.update_offset()
     }
 
@@ -88,6 +88,11 @@
         has_changed
     }
 
+    /// Takes over how far the control service's clock is ahead from the predecessor.
+    pub fn inherit_control_clock(&mut self, skew: Skew) {
+        self.control = skew;
+    }
+
     /// Records how far the control service's clock is ahead. Returns whether nodes have to be listed anew.
     pub fn record_control_clock(&mut self, skew: Skew, offsets: &ClockOffsets) -> bool {
         self.control = skew;
--- a/src/proxy/discovery/node_starts/tests.rs
+++ b/src/proxy/discovery/node_starts/tests.rs
@@ -19,6 +19,10 @@
     }
 }
 
+fn list(nodes: &[Endpoint]) -> EndpointList {
+    EndpointList { version: 1, full: false, servers: nodes.to_vec() }
+}
+
 fn ages(starts: &mut NodeStarts, nodes: &[Endpoint], now: Nanos) -> Vec<Nanos> {
     nodes.iter().map(|node| now - starts.listed(node, now).started_at).collect()
 }
@@ -31,18 +35,18 @@
 /// Guards against a successor that has read another wall clock than its predecessor, and takes cold nodes for warm ones.
 #[test]
 fn a_successor_knows_ages_although_its_clock_was_stepped() {
-    let list = [node("cold", NOW - 5 * SECOND), node("warm", NOW - 2 * HOUR)];
+    let nodes = [node("cold", NOW - 5 * SECOND), node("warm", NOW - 2 * HOUR)];
     for successor_now in [NOW - HOUR, NOW, NOW + HOUR, NOW + 24 * HOUR] {
         for predecessor_now in [NOW, NOW + HOUR] {
             let offsets = ClockOffsets::default();
             let mut old = NodeStarts::default();
             old.record_response_date(NOW, predecessor_now, &offsets);
-            old.record_list(&list, predecessor_now);
-            assert_eq!(seconds(ages(&mut old, &list, predecessor_now)), [5, 7200]);
+            old.record_list(&list(&nodes), predecessor_now);
+            assert_eq!(seconds(ages(&mut old, &nodes, predecessor_now)), [5, 7200]);
             let clock = old.clock_handover(predecessor_now);
             let mut new = NodeStarts::inherited(Some(&clock), &[], successor_now);
-            new.record_list(&list, successor_now);
-            let counted = seconds(ages(&mut new, &list, successor_now));
+            new.record_list(&list(&nodes), successor_now);
+            let counted = seconds(ages(&mut new, &nodes, successor_now));
             assert!(counted[0] <= 5 && (3600..=7200).contains(&counted[1]), "{counted:?}");
         }
     }
@@ -53,8 +57,8 @@
 fn a_successor_takes_a_cold_node_for_as_old_as_its_predecessor_saw_it() {
     let back = node("back", NOW - 3 * HOUR);
     let mut old = NodeStarts::default();
-    old.record_list(&[node("other", NOW - HOUR)], NOW);
-    old.record_list(std::slice::from_ref(&back), NOW + 60 * SECOND);
+    old.record_list(&list(&[node("other", NOW - HOUR)]), NOW);
+    old.record_list(&list(std::slice::from_ref(&back)), NOW + 60 * SECOND);
     let seen = old.listed(&back, NOW + 64 * SECOND);
     assert_eq!(seen.started_at, NOW + 60 * SECOND);
     let allowance = SlowStartAllowance {
