Have the soak cut control services off, and note a slow client's request as it is written

Need: on the soak with wrong clocks passed, since every drain was told by all sources and mended within the bound.

Change: in that play the proxies do not hear the control services for 10 s or more around most drains, and the soak fails on a statement that is passed over: none of its nodes begins anew. It is noted at each piece now, before the pause, so its client has less time by the pause than before; the bound is as it was.

--- a/crates/testing/fleet-harness/src/strict.rs
+++ b/crates/testing/fleet-harness/src/strict.rs
@@ -436,17 +436,18 @@
 
     /// Writes in pieces.
     async fn slow(&mut self) {
+        let mut connection = self.connect().await;
         let id = self.id();
         let request = self.request(&id);
-        let mut connection = self.connect().await;
         for piece in request.chunks(request.len() / 6 + 1) {
             if connection.stream.write_all(piece).await.is_err() {
                 // It was closed before the request was whole.
                 return;
             }
+            // Before any pause: what is whole may be at a node before this client goes on, or is stopped.
+            self.asked(&id);
             tokio::time::sleep(Duration::from_millis(self.random.random_range(5..120))).await;
         }
-        self.asked(&id);
         if let Err(how) = self.answered(&mut connection, &id).await {
             self.broke(Broken::Unanswered { id, how: format!("written slowly: {how}") });
         }
--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -46,6 +46,10 @@
     for line in fleet.history.with("rule broken") {
         found.push(line.to_string());
     }
+    // No node's process starts anew here, so that no word of one can be out of date.
+    for line in fleet.history.with("is passed over") {
+        found.push(line.to_string());
+    }
     for (proxy, client) in fleet.proxies.iter().zip(clients) {
         for (at, broken) in client.broken() {
             let at = at.saturating_duration_since(fleet.history.begin());
@@ -79,7 +83,15 @@
             let until = asked.at + asked.within + LEFT_MOST;
             if at + Duration::from_secs_f64(left) > until {
                 let over = (at + Duration::from_secs_f64(left)) - (asked.at + asked.within);
-                found.push(format!("{id} at {}: told of {over:?} more than its client has", node.id));
+                let asked_at = asked.at.saturating_duration_since(fleet.history.begin());
+                let proxy = id.split('-').next().unwrap_or_default();
+                found.push(format!(
+                    "{id} at {}: told of {over:?} more than its client has; asked at {:.3}, came {:?} later\n{}",
+                    node.id,
+                    asked_at.as_secs_f64(),
+                    at.saturating_duration_since(asked.at),
+                    around(fleet, proxy, asked_at)
+                ));
             }
             if asked.gone.is_some_and(|gone| at > gone + GONE_MOST) {
                 found.push(format!(
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -44,7 +44,8 @@
 enum WallClocks {
     /// Right but for those that are stepped among other troubles; nodes do not tell when they started.
     Mostly,
-    /// Each process has its own from each start on, wrong or stepped again and again; nodes tell when they started.
+    /// Each process has its own from each start on, wrong or stepped again and again; nodes tell when they started, and some drains are
+    /// told by discovery alone.
     Own,
 }
 
@@ -76,7 +77,7 @@
     let has_crowd = how == Ending::Killed && seed.is_multiple_of(2);
     let crowds: Vec<Crowd> =
         fleet.proxies.iter().filter(|_| has_crowd).map(|p| Crowd::start(p.listen, CROWD)).collect();
-    let mut troubles = Troubles::new(&clients, how);
+    let mut troubles = Troubles::new(&clients, how, wall_clocks == WallClocks::Own);
     for _ in 0..rounds {
         for _ in 0..random.random_range(2..=told("RUSHQUAY_TROUBLES", 3)) {
             troubles.begin(&mut fleet, &mut random).await;
@@ -91,6 +92,7 @@
         }
     }
     troubles.mend(&mut fleet).await;
+    troubles.mend_control(&fleet);
     judge::somebody_leads(&fleet).await;
     drop(crowds);
     let drains = troubles.drains();
--- a/tests/soak/troubles.rs
+++ b/tests/soak/troubles.rs
@@ -169,13 +169,34 @@
     drains: Vec<Drain>,
     hanging: Option<usize>,
     breaking: Option<usize>,
+    /// Whether a drain may be told by discovery alone.
+    may_cut_control: bool,
+    /// Since when the proxies have not heard the control services.
+    unheard_since: Option<Instant>,
 }
 
+/// The legs of all proxies to the control services.
+const CONTROL_LEGS: &str = "ctl:";
+/// Long enough that a drain which is not followed meanwhile shows.
+const UNHEARD_FOR: Duration = Duration::from_secs(10);
+
 impl<'a> Troubles<'a> {
-    pub fn new(clients: &'a [StrictClients], how: Ending) -> Self {
+    pub fn new(clients: &'a [StrictClients], how: Ending, may_cut_control: bool) -> Self {
         let (down, ending, drains) = Default::default();
         let (control, hanging, breaking) = (None, None, None);
-        Troubles { clients, how, down, ending, control, discovery: false, drains, hanging, breaking }
+        Troubles {
+            clients,
+            how,
+            down,
+            ending,
+            control,
+            discovery: false,
+            drains,
+            hanging,
+            breaking,
+            may_cut_control,
+            unheard_since: None,
+        }
     }
 
     /// The drains that were told, with when.
@@ -229,6 +250,7 @@
             Trouble::Drain if !self.discovery => {
                 let id = fleet.nodes[node].1.id.clone();
                 if self.drains.iter().all(|d| d.node != id) {
+                    self.cut_control(fleet, random);
                     fleet.discovery.set(&id, "draining");
                     self.drains.push(Drain { node: id, from: Instant::now(), to: None });
                 }
@@ -246,6 +268,21 @@
         }
     }
 
+    /// Cuts all proxies off from the control services, so that discovery alone tells the next drain; or does not.
+    fn cut_control(&mut self, fleet: &Fleet, random: &mut Pcg64Mcg) {
+        if self.may_cut_control && self.unheard_since.is_none() && random.random::<f64>() < 0.6 {
+            fleet.cut(CONTROL_LEGS);
+            self.unheard_since = Some(Instant::now());
+        }
+    }
+
+    /// Lets the proxies hear the control services again.
+    pub fn mend_control(&mut self, fleet: &Fleet) {
+        if self.unheard_since.take().is_some() {
+            fleet.mend(CONTROL_LEGS);
+        }
+    }
+
     /// A proxy is told to end; its front goes on sending clients there for a moment.
     async fn restart(&mut self, fleet: &mut Fleet, proxy: usize) {
         let told = Instant::now();
@@ -344,6 +381,9 @@
         if std::mem::take(&mut self.discovery) {
             fleet.discovery.down(false);
         }
+        if self.unheard_since.is_some_and(|since| since.elapsed() >= UNHEARD_FOR) {
+            self.mend_control(fleet);
+        }
         self.hanging.take().into_iter().for_each(|n| fleet.nodes[n].1.hanging(false));
         self.breaking.take().into_iter().for_each(|n| fleet.nodes[n].1.breaking(0));
     }
