--- a/src/decision/api.rs
+++ b/src/decision/api.rs
@@ -172,13 +172,14 @@
     pub incarnation: Option<Incarnation>,
 }
 
-/// Names a process of an endpoint, or its return with a cold cache. It is the same wherever the endpoint is listed, so it is compared for
-/// equality alone.
+/// Names a process of an endpoint, or its return with a cold cache. It is the same wherever the endpoint is
+/// listed, so it is compared for equality alone.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Incarnation {
     /// When the process started, as stated, in milliseconds.
     pub started_ms: u64,
-    /// When it returned to service with a cold cache by the control service's clock, in milliseconds; 0: it did not.
+    /// When it returned to service with a cold cache by the control service's clock, in milliseconds; 0: it
+    /// did not.
     pub cold_return_ms: u64,
 }
 
